Add fleet tables, settings and the platform's host list

The fleet tables decide when an unload order is safe: every host that may still run a request has confirmed the drain and runs nothing there, and no unload is sent in the first 8.5 s of a term.

--- /dev/null
+++ b/internal/fleet/engine.go
@@ -0,0 +1,235 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/config"
+)
+
+// engine is one engine with its slots and the load of its last scrape.
+type engine struct {
+	backend *apiv1.BackendServer
+	// known is true once a scrape of this term has shown the residency.
+	known       bool
+	healthy     bool
+	leaving     bool
+	failedRuns  int
+	startID     string
+	running     int
+	queued      int
+	kvUsage     float64
+	scrapedAt   time.Time
+	slots       map[Ref]*slot
+	slotVersion uint64
+	// loadVersion is the table's load version in which the load last changed.
+	loadVersion uint64
+}
+
+// slot is an adapter version that is on an engine or on its way.
+type slot struct {
+	state apiv1.SlotState
+	// since is when the slot got its state.
+	since time.Time
+	// version is the fleet version in which it got its state.
+	version  uint64
+	lastUsed time.Time
+	// unloading is true while an unload order is under way.
+	unloading bool
+	// unloadSent is true once an unload order may have left. The slot can't be
+	// made ready again, since a late order would evict it while it serves.
+	unloadSent bool
+}
+
+// Scrape is what an engine reported about itself.
+type Scrape struct {
+	StartID string
+	Running int
+	Queued  int
+	// KVUsage is the used share of the KV cache, 0 to 1.
+	KVUsage float64
+	// Resident lists the adapter versions that the engine holds.
+	Resident []Ref
+	// Begun is when the scrape was sent.
+	Begun time.Time
+}
+
+func (t *Table) putEngine(b *apiv1.BackendServer) {
+	e, ok := t.engines[b.GetName()]
+	if !ok || e.backend.GetAddress() != b.GetAddress() {
+		e = &engine{slots: map[Ref]*slot{}}
+		t.engines[b.GetName()] = e
+		e.slotVersion = t.bump()
+	}
+	e.backend = b
+	t.refreshLeaving(e)
+}
+
+func (t *Table) removeEngine(name string) {
+	delete(t.engines, name)
+	t.bump()
+}
+
+func (t *Table) refreshLeaving(e *engine) {
+	leaving := e.backend.GetLeaving() || t.leaving[e.backend.GetName()]
+	if e.leaving == leaving {
+		return
+	}
+	e.leaving = leaving
+	e.slotVersion = t.bump()
+}
+
+// Scraped takes in a successful scrape.
+func (t *Table) Scraped(name string, s Scrape, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.engines[name]
+	if !ok {
+		return
+	}
+	restarted := e.known && e.startID != s.StartID
+	if !e.healthy || restarted {
+		e.slotVersion = t.bump()
+	}
+	if restarted {
+		e.slots = map[Ref]*slot{}
+	}
+	e.known, e.healthy, e.failedRuns = true, true, 0
+	e.startID = s.StartID
+	t.setLoad(e, s, now)
+	t.mergeResidency(e, s, now)
+}
+
+func (t *Table) setLoad(e *engine, s Scrape, now time.Time) {
+	changed := e.running != s.Running || e.queued != s.Queued
+	e.running, e.queued, e.kvUsage = s.Running, s.Queued, s.KVUsage
+	e.scrapedAt = now
+	if changed {
+		t.loadVersion++
+		e.loadVersion = t.loadVersion
+	}
+}
+
+// mergeResidency makes the slots follow the scrape. A slot that changed after
+// the scrape was sent is left alone, since the scrape may not show the change.
+func (t *Table) mergeResidency(e *engine, s Scrape, now time.Time) {
+	resident := map[Ref]bool{}
+	changed := false
+	for _, ref := range s.Resident {
+		resident[ref] = true
+		if _, ok := e.slots[ref]; ok {
+			continue
+		}
+		e.slots[ref] = &slot{state: t.foundState(ref), since: now, lastUsed: now, version: t.version + 1}
+		changed = true
+	}
+	for ref, sl := range e.slots {
+		gone := !resident[ref] && sl.state != apiv1.SlotState_SLOT_STATE_LOADING && !sl.since.After(s.Begun)
+		if gone && !sl.unloading {
+			delete(e.slots, ref)
+			changed = true
+		}
+	}
+	if changed {
+		e.slotVersion = t.bump()
+	}
+}
+
+// foundState is the state of a resident version that this leader did not load.
+func (t *Table) foundState(ref Ref) apiv1.SlotState {
+	if t.published(ref) {
+		return apiv1.SlotState_SLOT_STATE_READY
+	}
+	return apiv1.SlotState_SLOT_STATE_DRAINING
+}
+
+func (t *Table) published(ref Ref) bool {
+	a, ok := t.conf.Adapter(ref.Adapter)
+	if !ok {
+		return false
+	}
+	_, ok = config.Version(a, ref.Version)
+	return ok && ref.Version != ""
+}
+
+// drainUnknownVersions starts draining what the configuration no longer names.
+func (t *Table) drainUnknownVersions() {
+	for _, e := range t.engines {
+		for ref, sl := range e.slots {
+			if sl.state == apiv1.SlotState_SLOT_STATE_READY && !t.published(ref) {
+				t.setState(e, sl, apiv1.SlotState_SLOT_STATE_DRAINING, sl.since)
+			}
+		}
+	}
+}
+
+// ScrapeFailed counts a failed scrape; the second in a row makes the engine
+// unhealthy.
+func (t *Table) ScrapeFailed(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.engines[name]
+	if !ok {
+		return
+	}
+	e.failedRuns++
+	if e.healthy && e.failedRuns >= unhealthyAfter {
+		e.healthy = false
+		e.slotVersion = t.bump()
+	}
+}
+
+func (t *Table) setState(e *engine, sl *slot, state apiv1.SlotState, now time.Time) {
+	sl.state = state
+	sl.since = now
+	e.slotVersion = t.bump()
+	sl.version = e.slotVersion
+}
+
+func (e *engine) used(ref Ref, now time.Time) {
+	if sl, ok := e.slots[ref]; ok {
+		sl.lastUsed = now
+	}
+}
+
+// sortedRefs returns the slots' references in a fixed order.
+func (e *engine) sortedRefs() []Ref {
+	refs := make([]Ref, 0, len(e.slots))
+	for ref := range e.slots {
+		refs = append(refs, ref)
+	}
+	slices.SortFunc(refs, compareRefs)
+	return refs
+}
+
+func (e *engine) status(now time.Time, withSlots bool) *apiv1.EngineStatus {
+	out := &apiv1.EngineStatus{
+		Name:            e.backend.GetName(),
+		Healthy:         e.healthy,
+		StartId:         e.startID,
+		Running:         uint32(e.running),
+		Queued:          uint32(e.queued),
+		LoadAgeMs:       uint32(max(0, now.Sub(e.scrapedAt).Milliseconds())),
+		Leaving:         e.leaving,
+		KvUsagePermille: uint32(min(max(e.kvUsage, 0), 1) * 1000),
+		SlotsUnchanged:  !withSlots,
+		FailureDomain:   e.backend.GetFailureDomain(),
+	}
+	if !e.known {
+		out.LoadAgeMs = 0
+	}
+	if !withSlots {
+		return out
+	}
+	for _, ref := range e.sortedRefs() {
+		out.Slots = append(out.Slots, &apiv1.Slot{Ref: ref.Message(), State: e.slots[ref].state})
+	}
+	return out
+}
+
+// compareKeys orders slot keys by engine and reference.
+func compareKeys(a, b slotKey) int {
+	return cmp.Or(cmp.Compare(a.engine, b.engine), compareRefs(a.ref, b.ref))
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,164 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/config"
+)
+
+var (
+	testStart = time.Unix(1000, 0)
+	testRef   = Ref{Adapter: "a", Version: "1"}
+)
+
+func testConfig(versions ...string) *config.Snapshot {
+	a := &apiv1.Adapter{Name: "a", BaseModel: "m", DefaultVersion: versions[0]}
+	for _, v := range versions {
+		a.Versions = append(a.Versions, &apiv1.AdapterVersion{Version: v, Weights: "w/" + v})
+	}
+	return config.FromManifest(&apiv1.Manifest{
+		Adapters: []*apiv1.Adapter{a},
+		BackendServers: []*apiv1.BackendServer{{
+			Name: "e", Address: "http://127.0.0.1:1", Kind: apiv1.BackendKind_BACKEND_KIND_ENGINE, BaseModel: "m", Slots: 2,
+		}},
+	}, 1)
+}
+
+// fixture is a table with a known engine that holds testRef, past the start of
+// the term.
+type fixture struct {
+	t   *Table
+	now time.Time
+}
+
+func newFixture() *fixture {
+	f := &fixture{t: New(5, testStart, testConfig("1", "2")), now: testStart.Add(SilenceBound)}
+	f.scrape("s1", testRef)
+	return f
+}
+
+func (f *fixture) scrape(startID string, refs ...Ref) {
+	f.t.Scraped("e", Scrape{StartID: startID, Resident: refs, Begun: f.now}, f.now)
+}
+
+// report sends a heartbeat of a host that acts on the given version.
+func (f *fixture) report(host string, version uint64, inFlight uint32) *apiv1.ReportResponse {
+	req := &apiv1.ReportRequest{Host: host, Incarnation: 1, FleetTerm: 5, FleetVersion: version}
+	if inFlight > 0 {
+		req.InFlight = []*apiv1.InFlight{{Engine: "e", Ref: testRef.Message(), Count: inFlight}}
+	}
+	return f.t.Report(req, f.now)
+}
+
+// An unload that is sent while a host may still start or run a request would
+// evict a serving adapter.
+func TestUnloadWaitsForEveryHost(t *testing.T) {
+	f := newFixture()
+	old := f.report("h1", 0, 0).GetFleetVersion()
+	f.report("h2", old, 1)
+	must.True(t, f.t.StartDrain("e", testRef, f.now))
+	must.SliceEmpty(t, f.t.TakeUnloads(f.now), must.Sprint("hosts have not confirmed"))
+
+	current := f.report("h1", old, 0).GetFleetVersion()
+	f.report("h1", current, 0)
+	must.SliceEmpty(t, f.t.TakeUnloads(f.now), must.Sprint("h2 has not confirmed"))
+	f.report("h2", current, 1)
+	must.SliceEmpty(t, f.t.TakeUnloads(f.now), must.Sprint("h2 still runs a request"))
+	must.Eq(t, []string{"unload of a:1 on e waits for host h2"}, f.t.WaitingFor(f.now))
+
+	f.now = f.now.Add(SilenceBound + time.Millisecond)
+	f.report("h1", current, 0)
+	orders := f.t.TakeUnloads(f.now)
+	must.Len(t, 1, orders, must.Sprint("h2 is silent beyond the bound"))
+	must.SliceEmpty(t, f.t.TakeUnloads(f.now), must.Sprint("the order was taken"))
+}
+
+// A new leader that unloads before it can have heard of every host would evict
+// what an unheard host serves.
+func TestNoUnloadAtStartOfTerm(t *testing.T) {
+	f := newFixture()
+	f.now = testStart.Add(SilenceBound - time.Millisecond)
+	f.t.StartDrain("e", testRef, f.now)
+	must.SliceEmpty(t, f.t.TakeUnloads(f.now))
+	f.now = testStart.Add(SilenceBound)
+	must.Len(t, 1, f.t.TakeUnloads(f.now))
+}
+
+// A slot that becomes ready again after an unload order left could be evicted
+// by the late order while it serves.
+func TestNoUndrainAfterUnloadWasSent(t *testing.T) {
+	f := newFixture()
+	f.t.StartDrain("e", testRef, f.now)
+	must.True(t, f.t.CancelDrain("e", testRef, f.now))
+	f.t.StartDrain("e", testRef, f.now)
+	orders := f.t.TakeUnloads(f.now)
+	must.Len(t, 1, orders)
+	f.t.UnloadDone(orders[0], true, f.now)
+	must.False(t, f.t.CancelDrain("e", testRef, f.now))
+	must.Len(t, 1, f.t.TakeUnloads(f.now), must.Sprint("the order is sent again"))
+}
+
+// Residency that outlives a restart would route requests to an engine that
+// lost its adapters.
+func TestResidencyFollowsScrapes(t *testing.T) {
+	f := newFixture()
+	second := Ref{Adapter: "a", Version: "2"}
+	o, ok := f.t.StartLoad("e", second, f.now)
+	must.True(t, ok)
+	must.Eq(t, "w/2", o.Weights)
+	f.scrape("s1", testRef)
+	f.t.LoadDone(o, false, f.now)
+	must.Len(t, 2, f.t.Engines(f.now)[0].GetSlots())
+
+	before := f.now.Add(-time.Millisecond)
+	f.t.Scraped("e", Scrape{StartID: "s1", Resident: []Ref{testRef}, Begun: before}, f.now)
+	must.Len(t, 2, f.t.Engines(f.now)[0].GetSlots(), must.Sprint("a scrape from before the load removed the slot"))
+
+	f.now = f.now.Add(time.Second)
+	f.scrape("s2")
+	must.Len(t, 0, f.t.Engines(f.now)[0].GetSlots())
+}
+
+// A version that the configuration dropped must not get new requests.
+func TestDroppedVersionDrains(t *testing.T) {
+	f := newFixture()
+	f.t.SetConfig(testConfig("2"))
+	must.Eq(t, apiv1.SlotState_SLOT_STATE_DRAINING, f.t.Engines(f.now)[0].GetSlots()[0].GetState())
+}
+
+// An answer that leaves out a change would keep a host on an old residency; an
+// answer that repeats everything would exceed the host's share of traffic.
+func TestReportAnswersWithChangesOnly(t *testing.T) {
+	f := newFixture()
+	first := f.report("h", 0, 0)
+	must.True(t, first.GetFull())
+	again := f.report("h", first.GetFleetVersion(), 0)
+	must.False(t, again.GetFull())
+	must.SliceEmpty(t, again.GetEngines())
+
+	f.t.Scraped("e", Scrape{StartID: "s1", Running: 3, Resident: []Ref{testRef}, Begun: f.now}, f.now)
+	loads := f.report("h", first.GetFleetVersion(), 0)
+	must.Len(t, 1, loads.GetEngines())
+	must.True(t, loads.GetEngines()[0].GetSlotsUnchanged())
+
+	f.t.StartDrain("e", testRef, f.now)
+	must.False(t, f.report("h", first.GetFleetVersion(), 0).GetEngines()[0].GetSlotsUnchanged())
+}
+
+// Waiting requests of a dead host would keep loads alive that nobody waits for.
+func TestDemandOfSilentHostIsNotCounted(t *testing.T) {
+	f := newFixture()
+	req := &apiv1.ReportRequest{Host: "h", Incarnation: 1, Demand: []*apiv1.AdapterDemand{
+		{Ref: testRef.Message(), Waiting: 2, Arrivals: 1, OldestWaitMs: 100, Team: "t"},
+	}}
+	f.t.Report(req, f.now)
+	waiting, oldest := f.t.total(f.t.demand[testRef], f.now)
+	must.Eq(t, 2, waiting)
+	must.Eq(t, 100*time.Millisecond, oldest)
+	waiting, _ = f.t.total(f.t.demand[testRef], f.now.Add(LiveBound+1))
+	must.Eq(t, 0, waiting)
+}
