Add storage, consensus and replica: elect, propose, apply, restart

Cause: control hosts need a replicated log with synced state, a leader lease and a safe start of a new cluster.

Change: internal/storage keeps the log in one bbolt file, internal/consensus is the pure node, and internal/replica drives it. StepRequest carries a Hello and save numbers (consensus.proto, generated again): hellos teach the disk identities before the first election, and the save number shows a data folder that was copied while its process ran, which the boot counter alone misses.

No measurement of speed yet.

--- /dev/null
+++ b/internal/consensus/follower.go
@@ -0,0 +1,81 @@
+package consensus
+
+import (
+	"fmt"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+)
+
+func (n *Node) handleFromLeader(m *apiv1.LogMessage) {
+	if n.role == Leader {
+		return
+	}
+	n.becomeFollower(m.GetTerm(), m.GetFrom())
+	n.heardLeader(n.now)
+	n.resetElection()
+	switch m.GetType() {
+	case apiv1.LogMessageType_LOG_MESSAGE_TYPE_APPEND:
+		n.handleAppend(m)
+	case apiv1.LogMessageType_LOG_MESSAGE_TYPE_HEARTBEAT:
+		n.commitTo(m.GetCommit())
+		n.send(&apiv1.LogMessage{
+			Type: apiv1.LogMessageType_LOG_MESSAGE_TYPE_HEARTBEAT_RESPONSE, To: m.GetFrom(), Round: m.GetRound(),
+		})
+	case apiv1.LogMessageType_LOG_MESSAGE_TYPE_SNAPSHOT:
+		n.handleSnapshot(m)
+	}
+}
+
+func (n *Node) commitTo(index uint64) {
+	n.log.commit = max(n.log.commit, min(index, n.log.last()))
+}
+
+func (n *Node) handleAppend(m *apiv1.LogMessage) {
+	prev, entries := m.GetLogIndex(), m.GetEntries()
+	matches := n.log.matches(prev, m.GetLogTerm())
+	if prev < n.log.commit {
+		// Committed entries match by agreement; only later ones matter.
+		known := n.log.commit - prev
+		if known >= uint64(len(entries)) {
+			n.sendMatch(m.GetFrom(), n.log.commit)
+			return
+		}
+		prev, entries, matches = n.log.commit, entries[known:], true
+	}
+	if !matches {
+		n.send(&apiv1.LogMessage{
+			Type: apiv1.LogMessageType_LOG_MESSAGE_TYPE_APPEND_RESPONSE, To: m.GetFrom(),
+			Reject: true, LogIndex: prev, Hint: n.conflictHint(prev),
+		})
+		return
+	}
+	if err := n.log.merge(entries); err != nil {
+		// A leader never appends a member set that it cannot decode.
+		panic(fmt.Sprintf("consensus: append from %s: %v", m.GetFrom(), err))
+	}
+	match := prev + uint64(len(entries))
+	n.commitTo(min(m.GetCommit(), match))
+	n.sendMatch(m.GetFrom(), match)
+}
+
+// conflictHint returns the last index at which the leader's log may match: it
+// skips all entries of the term that conflicts.
+func (n *Node) conflictHint(prev uint64) uint64 {
+	if prev > n.log.last() {
+		return n.log.last()
+	}
+	term, _ := n.log.term(prev)
+	for prev > n.log.commit {
+		prev--
+		if t, _ := n.log.term(prev); t != term {
+			break
+		}
+	}
+	return prev
+}
+
+func (n *Node) sendMatch(to string, match uint64) {
+	n.send(&apiv1.LogMessage{
+		Type: apiv1.LogMessageType_LOG_MESSAGE_TYPE_APPEND_RESPONSE, To: to, LogIndex: match,
+	})
+}
--- /dev/null
+++ b/internal/consensus/transfer.go
@@ -0,0 +1,73 @@
+package consensus
+
+import (
+	"time"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+)
+
+// transfer is a leadership transfer under way.
+type transfer struct {
+	to string
+	// leaseEnd is the end of the lease that was last given out. The target is
+	// told to start only then, because its votes override the lease check.
+	leaseEnd, deadline time.Time
+	sent               bool
+}
+
+// Transfer starts to hand leadership to the voter that is furthest and answers.
+// The node reports no lease from here on.
+func (n *Node) Transfer() error {
+	if n.role != Leader {
+		return fault.New(fault.KindNotLeader, "this host does not lead", "send the request to the leader").WithRun(fault.NotRun)
+	}
+	if n.transfer != nil {
+		return nil
+	}
+	to := ""
+	for _, id := range voters(n.Members()) {
+		if id != n.id && n.isActive(id) && (to == "" || n.progress[id].match > n.progress[to].match) {
+			to = id
+		}
+	}
+	if to == "" {
+		return fault.New(fault.KindUnavailable, "no other voter answers", "bring another voter up, or stop this host anyway")
+	}
+	end := n.now
+	if lease := n.Lease(); lease.After(end) {
+		end = lease
+	}
+	n.transfer = &transfer{to: to, leaseEnd: end, deadline: end.Add(n.cfg.ElectionTimeout)}
+	return nil
+}
+
+// transferring tells whether the target is about to take over, so that no new
+// entries are accepted.
+func (n *Node) transferring() bool {
+	return n.transfer != nil && !n.now.Before(n.transfer.leaseEnd)
+}
+
+func (n *Node) tickTransfer() {
+	t := n.transfer
+	if !n.transferring() {
+		return
+	}
+	pr := n.progress[t.to]
+	if !t.sent && pr != nil && pr.match == n.log.last() {
+		t.sent = true
+		n.send(&apiv1.LogMessage{Type: apiv1.LogMessageType_LOG_MESSAGE_TYPE_TIMEOUT_NOW, To: t.to})
+	}
+	if n.now.Before(t.deadline) {
+		return
+	}
+	if t.sent {
+		// The request may still arrive, so this term can have no lease again.
+		n.becomeFollower(n.term, "")
+		return
+	}
+	n.transfer = nil
+}
+
+// Transferring tells whether a leadership transfer is under way.
+func (n *Node) Transferring() bool { return n.transfer != nil }
--- /dev/null
+++ b/internal/storage/records.go
@@ -0,0 +1,251 @@
+package storage
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"go.etcd.io/bbolt"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/consensus"
+)
+
+// Buckets and keys of the file. Values but the version, the disk identity and
+// the boot counter begin with the xxhash64 of their key and the rest.
+var (
+	metaBucket    = []byte("meta")
+	entriesBucket = []byte("entries")
+	peersBucket   = []byte("peers")
+
+	keyVersion   = []byte("version")
+	keyDisk      = []byte("disk")
+	keyBoot      = []byte("boot")
+	keyHardState = []byte("hard_state")
+	keySnapshot  = []byte("snapshot")
+	keyFirst     = []byte("first_members")
+)
+
+// loaded is what Open read.
+type loaded struct {
+	saved consensus.Saved
+	first *apiv1.MemberSet
+	peers map[string]consensus.Run
+}
+
+// Load returns the log state as it was when the data folder was opened. The
+// first call hands it over; later calls return nothing.
+func (s *Store) Load() (consensus.Saved, *apiv1.MemberSet, map[string]consensus.Run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.loaded
+	s.loaded = loaded{}
+	return l.saved, l.first, l.peers
+}
+
+func seal(key, value []byte) []byte {
+	out := make([]byte, 8, 8+len(value))
+	binary.BigEndian.PutUint64(out, sum(key, value))
+	return append(out, value...)
+}
+
+func sum(key, value []byte) uint64 {
+	d := xxhash.New()
+	_, _ = d.Write(key)
+	_, _ = d.Write(value)
+	return d.Sum64()
+}
+
+// unseal returns a value whose checksum is right; it stays valid only within
+// the transaction.
+func unseal(key, sealed []byte) ([]byte, error) {
+	if len(sealed) < 8 || binary.BigEndian.Uint64(sealed) != sum(key, sealed[8:]) {
+		return nil, damaged(nil, fmt.Sprintf("the checksum of record %q is wrong", key))
+	}
+	return sealed[8:], nil
+}
+
+func putMessage(b *bbolt.Bucket, key []byte, m proto.Message) error {
+	value, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	return b.Put(key, seal(key, value))
+}
+
+func write(tx *bbolt.Tx, u Update) error {
+	meta, entries := tx.Bucket(metaBucket), tx.Bucket(entriesBucket)
+	if u.HardState != nil {
+		value := append(number(u.HardState.Term), u.HardState.Vote...)
+		if err := meta.Put(keyHardState, seal(keyHardState, value)); err != nil {
+			return err
+		}
+	}
+	if u.Snapshot != nil {
+		if err := writeSnapshot(meta, entries, u); err != nil {
+			return err
+		}
+	}
+	if u.First != nil {
+		if err := putMessage(meta, keyFirst, u.First); err != nil {
+			return err
+		}
+	}
+	if err := writeEntries(entries, u.Entries); err != nil {
+		return err
+	}
+	return writePeers(tx.Bucket(peersBucket), u.Peers)
+}
+
+// The snapshot record is index, term, length of the member set, member set and
+// data.
+func writeSnapshot(meta, entries *bbolt.Bucket, u Update) error {
+	members := consensus.EncodeMembers(u.Snapshot.Members)
+	value := append(number(u.Snapshot.Index), number(u.Snapshot.Term)...)
+	value = append(value, number(uint64(len(members)))...)
+	value = append(append(value, members...), u.Snapshot.Data...)
+	if err := meta.Put(keySnapshot, seal(keySnapshot, value)); err != nil {
+		return err
+	}
+	if u.Reset {
+		return deleteRange(entries, 0, ^uint64(0))
+	}
+	return deleteRange(entries, 0, u.KeepFrom)
+}
+
+func readSnapshot(value []byte) (*consensus.Snapshot, error) {
+	if len(value) < 24 {
+		return nil, damaged(nil, "the snapshot record is too short")
+	}
+	size := binary.BigEndian.Uint64(value[16:])
+	rest := value[24:]
+	if size > uint64(len(rest)) {
+		return nil, damaged(nil, "the snapshot record is too short")
+	}
+	set := &apiv1.MemberSet{}
+	if err := proto.Unmarshal(rest[:size], set); err != nil {
+		return nil, damaged(err, "the member set of the snapshot cannot be decoded")
+	}
+	return &consensus.Snapshot{
+		Index: binary.BigEndian.Uint64(value), Term: binary.BigEndian.Uint64(value[8:]),
+		Members: set, Data: bytes.Clone(rest[size:]),
+	}, nil
+}
+
+func deleteRange(b *bbolt.Bucket, from, to uint64) error {
+	// Deleting while iterating makes a cursor skip keys, so they are collected.
+	var keys [][]byte
+	c := b.Cursor()
+	for k, _ := c.Seek(number(from)); k != nil && binary.BigEndian.Uint64(k) < to; k, _ = c.Next() {
+		keys = append(keys, k)
+	}
+	for _, k := range keys {
+		if err := b.Delete(k); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeEntries(b *bbolt.Bucket, entries []*apiv1.LogEntry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	last := entries[len(entries)-1].GetIndex()
+	if err := deleteRange(b, last+1, ^uint64(0)); err != nil {
+		return err
+	}
+	// Entries are appended in order, so pages can be filled.
+	b.FillPercent = 0.9
+	for _, e := range entries {
+		if err := putMessage(b, number(e.GetIndex()), e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writePeers(b *bbolt.Bucket, peers map[string]consensus.Run) error {
+	for _, disk := range slices.Sorted(maps.Keys(peers)) {
+		run := peers[disk]
+		value := append(append(number(run.Boot), number(run.Nonce)...), number(run.Saves)...)
+		if err := b.Put([]byte(disk), seal([]byte(disk), value)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *loaded) read(tx *bbolt.Tx) error {
+	meta := tx.Bucket(metaBucket)
+	if err := l.readMeta(meta); err != nil {
+		return err
+	}
+	l.peers = map[string]consensus.Run{}
+	err := tx.Bucket(peersBucket).ForEach(func(k, v []byte) error {
+		value, err := unseal(k, v)
+		if err != nil {
+			return err
+		}
+		if len(value) != 24 {
+			return damaged(nil, fmt.Sprintf("the record of peer %q has a wrong length", k))
+		}
+		l.peers[string(k)] = consensus.Run{
+			Boot: binary.BigEndian.Uint64(value), Nonce: binary.BigEndian.Uint64(value[8:]),
+			Saves: binary.BigEndian.Uint64(value[16:]),
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return tx.Bucket(entriesBucket).ForEach(func(k, v []byte) error {
+		value, err := unseal(k, v)
+		if err != nil {
+			return err
+		}
+		e := &apiv1.LogEntry{}
+		if err := proto.Unmarshal(value, e); err != nil {
+			return damaged(err, "an entry cannot be decoded")
+		}
+		l.saved.Entries = append(l.saved.Entries, e)
+		return nil
+	})
+}
+
+func (l *loaded) readMeta(meta *bbolt.Bucket) error {
+	if v := meta.Get(keyHardState); v != nil {
+		value, err := unseal(keyHardState, v)
+		if err != nil {
+			return err
+		}
+		if len(value) < 8 {
+			return damaged(nil, "the hard state is too short")
+		}
+		l.saved.HardState = consensus.HardState{Term: binary.BigEndian.Uint64(value), Vote: string(value[8:])}
+	}
+	if v := meta.Get(keySnapshot); v != nil {
+		value, err := unseal(keySnapshot, v)
+		if err != nil {
+			return err
+		}
+		if l.saved.Snapshot, err = readSnapshot(value); err != nil {
+			return err
+		}
+	}
+	if v := meta.Get(keyFirst); v != nil {
+		value, err := unseal(keyFirst, v)
+		if err != nil {
+			return err
+		}
+		l.first = &apiv1.MemberSet{}
+		if err := proto.Unmarshal(value, l.first); err != nil {
+			return damaged(err, "the first member set cannot be decoded")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/storage/storage.go
@@ -0,0 +1,276 @@
+// Package storage keeps the replicated log of a control host in one bbolt file:
+// hard state, entries, snapshot, the disk identity, the boot counter and the
+// newest run seen from each peer. Each save is one synced transaction.
+package storage
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/consensus"
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+)
+
+// FormatVersion is the format that this release writes. It reads no newer one.
+const FormatVersion = 1
+
+// FileName is the name of the file in the data folder.
+const FileName = "log.db"
+
+// Options holds the settings of a store.
+type Options struct {
+	// MaxSize bounds the file in bytes; 0 means no bound.
+	MaxSize int
+	// NoSync leaves out the sync of each save. Only simulations may set it.
+	NoSync bool
+}
+
+// Identity names a data folder and one run on it.
+type Identity struct {
+	// DiskID is random and made with the data folder.
+	DiskID string
+	// Boot counts the opens of the data folder.
+	Boot uint64
+	// Nonce differs between two runs with the same boot counter, which an
+	// earlier copy of the data folder leads to.
+	Nonce uint64
+	// SavesAtOpen is the number of the save that counted this boot.
+	SavesAtOpen uint64
+}
+
+// Update is what one save changes.
+type Update struct {
+	HardState *consensus.HardState
+	// Snapshot replaces the saved snapshot. With Reset all saved entries go;
+	// otherwise those before KeepFrom.
+	Snapshot *consensus.Snapshot
+	Reset    bool
+	KeepFrom uint64
+	// Entries replace all saved entries from the first one's index.
+	Entries []*apiv1.LogEntry
+	// Peers replaces the newest run seen from each of these disks.
+	Peers map[string]consensus.Run
+	// First is the first member set of the cluster.
+	First *apiv1.MemberSet
+}
+
+// Store is an open data folder. It is safe for concurrent use.
+type Store struct {
+	db       *bbolt.DB
+	identity Identity
+
+	mu     sync.Mutex
+	saves  uint64
+	broken error
+	loaded loaded
+}
+
+// Open opens the data folder and counts a boot. It creates the folder and the
+// file when they do not exist. All that was saved is checked.
+func Open(dir string, opts Options) (*Store, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, ioError(err, "cannot create the data folder")
+	}
+	s := &Store{}
+	err := guard(func() error { return s.open(filepath.Join(dir, FileName), opts) })
+	if err != nil {
+		if s.db != nil {
+			_ = guard(s.db.Close)
+		}
+		return nil, err
+	}
+	if err := syncDir(dir); err != nil {
+		_ = s.db.Close()
+		return nil, ioError(err, "cannot sync the data folder")
+	}
+	return s, nil
+}
+
+func (s *Store) open(path string, opts Options) error {
+	if info, err := os.Stat(path); err == nil && info.Size() == 0 {
+		return damaged(nil, "the file is empty")
+	}
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{
+		Timeout: time.Second, NoSync: opts.NoSync, NoFreelistSync: true,
+		FreelistType: bbolt.FreelistMapType, MaxSize: opts.MaxSize,
+	})
+	if err != nil {
+		return openError(err)
+	}
+	s.db = db
+	if err := s.db.View(func(tx *bbolt.Tx) error { return checkVersion(tx) }); err != nil {
+		return err
+	}
+	var nonce [8]byte
+	// crypto/rand never fails.
+	_, _ = rand.Read(nonce[:])
+	s.identity.Nonce = binary.BigEndian.Uint64(nonce[:])
+	err = s.db.Update(func(tx *bbolt.Tx) error {
+		s.identity.SavesAtOpen = uint64(tx.ID())
+		return countBoot(tx, &s.identity)
+	})
+	if err != nil {
+		return saveError(err)
+	}
+	s.saves = s.identity.SavesAtOpen
+	return s.db.View(func(tx *bbolt.Tx) error { return s.loaded.read(tx) })
+}
+
+// guard turns a panic or a fault on the mapped file into an error: bbolt
+// assumes a whole file.
+func guard(f func() error) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if r := recover(); r != nil {
+			err = damaged(nil, "the file cannot be read")
+		}
+	}()
+	return f()
+}
+
+// Identity returns the disk identity and the run.
+func (s *Store) Identity() Identity { return s.identity }
+
+// Saves returns the number of the last save. It grows over the life of the data
+// folder.
+func (s *Store) Saves() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.saves
+}
+
+// Close closes the data folder.
+func (s *Store) Close() error {
+	if err := s.db.Close(); err != nil {
+		return ioError(err, "cannot close the data folder")
+	}
+	return nil
+}
+
+// Save writes and syncs an update. After a failed save the file may or may not
+// hold the update, so that every later save fails too and the host must restart.
+func (s *Store) Save(u Update) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.broken != nil {
+		return s.broken
+	}
+	var id uint64
+	err := s.db.Update(func(tx *bbolt.Tx) error {
+		id = uint64(tx.ID())
+		return write(tx, u)
+	})
+	if err != nil {
+		s.broken = saveError(err)
+		return s.broken
+	}
+	s.saves = id
+	return nil
+}
+
+func countBoot(tx *bbolt.Tx, id *Identity) error {
+	meta, err := tx.CreateBucketIfNotExists(metaBucket)
+	if err != nil {
+		return err
+	}
+	for _, name := range [][]byte{entriesBucket, peersBucket} {
+		if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+			return err
+		}
+	}
+	if meta.Get(keyDisk) == nil {
+		var disk [16]byte
+		_, _ = rand.Read(disk[:])
+		if err := meta.Put(keyDisk, []byte(hex.EncodeToString(disk[:]))); err != nil {
+			return err
+		}
+		if err := meta.Put(keyVersion, number(FormatVersion)); err != nil {
+			return err
+		}
+	}
+	id.DiskID = string(meta.Get(keyDisk))
+	if boot := meta.Get(keyBoot); boot != nil {
+		if len(boot) != 8 {
+			return damaged(nil, "the boot counter is not a number")
+		}
+		id.Boot = binary.BigEndian.Uint64(boot)
+	}
+	id.Boot++
+	return meta.Put(keyBoot, number(id.Boot))
+}
+
+func number(v uint64) []byte { return binary.BigEndian.AppendUint64(nil, v) }
+
+func syncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
+
+func checkVersion(tx *bbolt.Tx) error {
+	meta := tx.Bucket(metaBucket)
+	if meta == nil {
+		return nil
+	}
+	v := meta.Get(keyVersion)
+	if len(v) != 8 {
+		return damaged(nil, "the format version is missing")
+	}
+	if got := binary.BigEndian.Uint64(v); got > FormatVersion {
+		return fault.Newf(fault.KindStorageVersion, "start the release that wrote it, or a newer one",
+			"the data folder has format %d, and this release reads up to %d", got, FormatVersion).At("data_folder")
+	}
+	return nil
+}
+
+func damaged(cause error, what string) error {
+	const remedy = "replace this member: start it with an empty data folder and add it again"
+	return fault.Wrap(cause, fault.KindStorageDamaged, what, remedy).At("data_folder")
+}
+
+func ioError(err error, what string) error {
+	if _, ok := fault.As(err); ok {
+		return err
+	}
+	return fault.Wrap(err, fault.KindUnavailable, what, "check the disk and its permissions").At("data_folder")
+}
+
+func openError(err error) error {
+	switch {
+	case errors.Is(err, berrors.ErrInvalid), errors.Is(err, berrors.ErrChecksum):
+		return damaged(err, "the file's header is damaged")
+	case errors.Is(err, berrors.ErrVersionMismatch):
+		return fault.Wrap(err, fault.KindStorageVersion, "the file has another database version",
+			"start the release that wrote it").At("data_folder")
+	case errors.Is(err, berrors.ErrTimeout):
+		return fault.Wrap(err, fault.KindUnavailable, "another process uses the data folder", "stop it first").At("data_folder")
+	}
+	return ioError(err, "cannot open the file")
+}
+
+// saveError names a full disk.
+func saveError(err error) error {
+	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, berrors.ErrMaxSizeReached) {
+		return fault.Wrap(err, fault.KindUnavailable, "the disk is full", "free space and restart this host").At("data_folder")
+	}
+	if errors.Is(err, fs.ErrPermission) {
+		return fault.Wrap(err, fault.KindUnavailable, "the file is not writable", "check its permissions").At("data_folder")
+	}
+	return ioError(err, "cannot save")
+}
