Add transports, engine client and stand-ins

Cause: entry, control and the development fleet need backend servers to call and a client that says how far a failed call got.

Change: internal/pool holds HTTP/1.1 transports with bounds and exact knowledge of written bytes; internal/engine speaks the engine protocol over it; internal/standin is the engine, weight store and plain service for development and tests, with thin commands.

Conclusion: first working versions for others to build on; hardening follows.

--- /dev/null
+++ b/internal/engine/client_test.go
@@ -0,0 +1,112 @@
+package engine_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/engine"
+	"github.com/jasminesaddle/jasminesaddle/internal/pool"
+	"github.com/jasminesaddle/jasminesaddle/internal/standin"
+)
+
+// fixture is a stand-in engine and its client over in-memory connections on a
+// fake clock.
+type fixture struct {
+	engine *standin.Engine
+	client *engine.Client
+	pools  *pool.Set
+	sent   int
+}
+
+var refA = &apiv1.AdapterRef{Adapter: "a", Version: "1"}
+
+// run starts the fixture with adapter a:1 resident and ends it with the test.
+func run(t *testing.T, opts standin.EngineOptions, test func(t *testing.T, f *fixture)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		l := standin.NewPipeListener()
+		e := standin.NewEngine(opts)
+		defer e.Close()
+		go func() { _ = e.Serve(l) }()
+		pools := pool.NewSet(pool.Options{Dial: l.DialContext})
+		defer pools.Close()
+		c := engine.New(&apiv1.BackendServer{Name: "e1", Address: "http://192.0.2.1:8000", BaseModel: "base"}, pools)
+		must.NoError(t, c.Load(t.Context(), engine.Order{Ref: refA, Weights: "w/a/1", Fence: 1}))
+		test(t, &fixture{engine: e, client: c, pools: pools})
+	})
+}
+
+// call returns a completion of n tokens.
+func (f *fixture) call(stream bool, n int, prompt string) engine.Call {
+	f.sent++
+	body, _ := json.Marshal(map[string]any{"model": "other", "prompt": prompt, "max_tokens": n})
+	return engine.Call{
+		Path: "/v1/completions", AttemptID: fmt.Sprintf("attempt-%d", f.sent), Model: "a:1", Body: body,
+		Stream: stream, FirstByte: 5 * time.Second, Gap: time.Second,
+	}
+}
+
+// text reads the stream to its end and joins its tokens.
+func text(s *engine.Stream) (string, error) {
+	var b strings.Builder
+	for {
+		ev, err := s.Next()
+		if err == io.EOF {
+			return b.String(), nil
+		}
+		if err != nil {
+			return b.String(), err
+		}
+		if ev.Done {
+			continue
+		}
+		var chunk struct {
+			Choices []struct{ Text string }
+		}
+		if err := json.Unmarshal(ev.Data, &chunk); err != nil {
+			return b.String(), err
+		}
+		b.WriteString(chunk.Choices[0].Text)
+	}
+}
+
+func TestCompletions(t *testing.T) {
+	run(t, standin.EngineOptions{}, func(t *testing.T, f *fixture) {
+		whole, err := f.client.Do(t.Context(), f.call(false, 4, "hello"))
+		must.NoError(t, err)
+		var answer struct {
+			Choices []struct{ Text string }
+		}
+		must.NoError(t, json.Unmarshal(whole.Body, &answer))
+		must.EqOp(t, standin.Answer("a:1", "hello", 4), answer.Choices[0].Text)
+
+		streamed, err := f.client.Do(t.Context(), f.call(true, 4, "hello"))
+		must.NoError(t, err)
+		got, err := text(streamed.Stream)
+		must.NoError(t, err)
+		must.EqOp(t, standin.Answer("a:1", "hello", 4), got)
+		must.EqOp(t, 1, f.engine.Executions("attempt-1"))
+		must.EqOp(t, 1, f.engine.Executions("attempt-2"))
+
+		load, err := f.client.Scrape(context.Background())
+		must.NoError(t, err)
+		must.EqOp(t, f.engine.StartID(), load.StartID)
+		must.Len(t, 1, load.Adapters)
+		id, err := f.client.Probe(t.Context())
+		must.NoError(t, err)
+		must.EqOp(t, load.StartID, id)
+		must.NoError(t, f.client.Unload(t.Context(), engine.Order{Ref: refA, Fence: 1}))
+		load, err = f.client.Scrape(t.Context())
+		must.NoError(t, err)
+		must.Len(t, 0, load.Adapters)
+	})
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,181 @@
+// Package engine is the client of a model-serving backend server: completions
+// whole and streamed, resume and cancel, adapter loads and unloads, and the
+// scrape of load and residency. Only this package knows the engine's names on
+// the wire.
+package engine
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/pool"
+)
+
+// Engine is what the rest of the project needs of an engine. A client of
+// another engine protocol implements it with the same types.
+type Engine interface {
+	Do(ctx context.Context, call Call) (*Answer, error)
+	Resume(ctx context.Context, attemptID string, after uint64, gap time.Duration) (*Stream, error)
+	Cancel(ctx context.Context, attemptID string) error
+	Load(ctx context.Context, o Order) error
+	Unload(ctx context.Context, o Order) error
+	Scrape(ctx context.Context) (Load, error)
+	Probe(ctx context.Context) (startID string, err error)
+}
+
+var _ Engine = (*Client)(nil)
+
+// Names on the wire.
+const (
+	pathCompletions     = "/v1/completions"
+	pathChatCompletions = "/v1/chat/completions"
+	pathModels          = "/v1/models"
+	pathLoad            = "/v1/load_lora_adapter"
+	pathUnload          = "/v1/unload_lora_adapter"
+	pathStreams         = "/v1/streams/"
+	pathMetrics         = "/metrics"
+	pathHealth          = "/health"
+
+	headerRequestID   = "X-Request-Id"
+	headerFence       = "X-Fencing-Number"
+	headerLastEventID = "Last-Event-ID"
+)
+
+// Bounds on what an engine may send.
+const (
+	maxAnswerBytes  = 16 << 20
+	maxOrderBytes   = 64 << 10
+	maxModelsBytes  = 1 << 20
+	maxMetricsBytes = 4 << 20
+	maxEventBytes   = 1 << 20
+	maxStreamBytes  = 64 << 20
+	maxStreamEvents = 1 << 20
+	maxAdapters     = 1024
+	maxIDBytes      = 128
+)
+
+// Bounds on calls that have none of their own.
+const (
+	probeTimeout  = 2 * time.Second
+	scrapeTimeout = 2 * time.Second
+	cancelTimeout = 2 * time.Second
+	orderTimeout  = 30 * time.Second
+)
+
+// Call is one attempt to run a completion.
+type Call struct {
+	// Path is /v1/completions or /v1/chat/completions.
+	Path string
+	// AttemptID is the attempt's own X-Request-Id.
+	AttemptID string
+	// Model replaces the model in the body; empty leaves the body's model.
+	Model string
+	// Body is the JSON object of the request.
+	Body []byte
+	// Stream asks for an event stream.
+	Stream bool
+	// Priority goes to the engine when it is not 0; a lower one runs earlier.
+	Priority int
+	// FirstByte bounds the time to the response header and Gap the silence
+	// between bytes of the answer; 0 selects the bounds of the pool.
+	FirstByte, Gap time.Duration
+}
+
+// Answer is what an engine answered. Stream is set for an event stream; else
+// Body is the whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	Stream *Stream
+}
+
+// Event is one event of a stream.
+type Event struct {
+	// Seq is the event's sequence number; the first is 1.
+	Seq uint64
+	// Data is valid until the next call of Next.
+	Data []byte
+	// Done marks the end of a whole stream.
+	Done bool
+}
+
+// Load is what an engine reports about itself.
+type Load struct {
+	// StartID identifies the run of the engine's process.
+	StartID          string
+	Running, Waiting int
+	// KVUsage is the used share of the KV cache, from 0 to 1.
+	KVUsage float64
+	// Adapters are the resident adapter versions.
+	Adapters []*apiv1.AdapterRef
+}
+
+// Order is an order to load or unload an adapter version.
+type Order struct {
+	Ref *apiv1.AdapterRef
+	// Weights is the path in the weight store; an unload needs none.
+	Weights string
+	// Fence is the fencing number of the control leader that gives the order.
+	Fence uint64
+}
+
+// Client speaks the protocol of one engine. It is safe for concurrent use.
+type Client struct {
+	name      string
+	baseModel string
+	base      *url.URL
+	baseErr   error
+	transport http.RoundTripper
+	fresh     http.RoundTripper
+}
+
+// New returns the client of the engine. A wrong address is reported by the
+// calls.
+func New(b *apiv1.BackendServer, pools *pool.Set) *Client {
+	base, err := url.Parse(b.GetAddress())
+	return &Client{
+		name: b.GetName(), baseModel: b.GetBaseModel(),
+		base: base, baseErr: err,
+		transport: pools.Transport(b.GetName()),
+		fresh:     pools.SingleUse(b.GetName()),
+	}
+}
+
+// ModelName returns the name under which an engine knows the adapter version.
+func ModelName(ref *apiv1.AdapterRef) string {
+	return ref.GetAdapter() + ":" + ref.GetVersion()
+}
+
+// parseModelName is the inverse of ModelName. It accepts only names that the
+// manifest could hold.
+func parseModelName(id string) (*apiv1.AdapterRef, bool) {
+	adapter, version, ok := strings.Cut(id, ":")
+	if !ok || !validName(adapter) || !validName(version) {
+		return nil, false
+	}
+	return &apiv1.AdapterRef{Adapter: adapter, Version: version}, true
+}
+
+// validName tells whether a name is short and holds only letters, digits and
+// ". _ - /".
+func validName(s string) bool {
+	if s == "" || len(s) > maxIDBytes {
+		return false
+	}
+	for _, r := range s {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		if !letter && !strings.ContainsRune("._-/", r) {
+			return false
+		}
+	}
+	return true
+}
+
+// newID returns the identifier of a request that is not a caller's.
+func newID(prefix string) string { return prefix + rand.Text() }
--- /dev/null
+++ b/internal/engine/errors.go
@@ -0,0 +1,97 @@
+package engine
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/pool"
+)
+
+// Phase tells how far a failed attempt got.
+type Phase int
+
+const (
+	// NotSent means that no byte of the request left.
+	NotSent Phase = iota
+	// MaybeSent means that the engine may have got the request.
+	MaybeSent
+	// Answered means that the engine's response header had arrived.
+	Answered
+)
+
+func (p Phase) String() string {
+	switch p {
+	case NotSent:
+		return "not_sent"
+	case MaybeSent:
+		return "maybe_sent"
+	default:
+		return "answered"
+	}
+}
+
+// Error is a failed call of an engine. It wraps a *fault.Error.
+type Error struct {
+	Engine string
+	Phase  Phase
+
+	fault *fault.Error
+}
+
+// Error returns the text of the fault.
+func (e *Error) Error() string { return e.fault.Error() }
+
+// Unwrap returns the fault.
+func (e *Error) Unwrap() error { return e.fault }
+
+// Fault returns the typed error.
+func (e *Error) Fault() *fault.Error { return e.fault }
+
+// PhaseOf returns the phase of the first *Error in err's chain, or MaybeSent,
+// which promises nothing.
+func PhaseOf(err error) Phase {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Phase
+	}
+	return MaybeSent
+}
+
+// runs holds what each phase says about the run.
+var runs = map[Phase]fault.Run{NotSent: fault.NotRun, MaybeSent: fault.OutcomeUnknown, Answered: fault.OutcomeUnknown}
+
+func (c *Client) errorf(phase Phase, kind fault.Kind, remedy, format string, args ...any) *Error {
+	f := fault.New(kind, "engine "+c.name+" "+fmt.Sprintf(format, args...), remedy)
+	return &Error{Engine: c.name, Phase: phase, fault: f.WithRun(runs[phase])}
+}
+
+// ran sets that the engine ran the request.
+func (e *Error) ran() *Error {
+	e.fault.WithRun(fault.Ran)
+	return e
+}
+
+// transportError turns an error of the pool into one of this package.
+func (c *Client) transportError(err error) *Error {
+	e := &Error{Engine: c.name, Phase: MaybeSent}
+	var p *pool.Error
+	if errors.As(err, &p) {
+		switch {
+		case p.Answered:
+			e.Phase = Answered
+		case !p.MaySent:
+			e.Phase = NotSent
+		}
+	}
+	f, ok := fault.As(err)
+	if !ok {
+		f = fault.Wrap(err, fault.KindBackendFailed, "the call of engine "+c.name+" failed", "check the engine").
+			WithRun(runs[e.Phase])
+	}
+	e.fault = f
+	return e
+}
+
+const remedyEngine = "check the engine and its version"
--- /dev/null
+++ b/internal/engine/http.go
@@ -0,0 +1,210 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/pool"
+)
+
+// request is one HTTP exchange with an engine.
+type request struct {
+	method, path, id string
+	header           http.Header
+	body             []byte
+	bounds           pool.Bounds
+	// fresh asks for a connection of its own.
+	fresh bool
+}
+
+// roundTrip sends the request and checks that the answer belongs to it. The
+// caller closes the answer's body.
+func (c *Client) roundTrip(ctx context.Context, r request) (*http.Response, error) {
+	if c.baseErr != nil || c.base.Host == "" {
+		return nil, c.errorf(NotSent, fault.KindNoBackend, "correct the address in the manifest", "has no valid address")
+	}
+	if !validName(r.id) {
+		return nil, c.errorf(NotSent, fault.KindInternal, "use letters, digits and . _ -", "got an invalid attempt identifier")
+	}
+	u := c.base.JoinPath(r.path)
+	var body io.Reader
+	if r.body != nil {
+		body = bytes.NewReader(r.body)
+	}
+	req, err := http.NewRequestWithContext(pool.WithBounds(ctx, r.bounds), r.method, u.String(), body)
+	if err != nil {
+		return nil, c.errorf(NotSent, fault.KindInternal, "correct the address in the manifest", "has no valid address")
+	}
+	if r.header != nil {
+		req.Header = r.header
+	}
+	// The engine sees only headers that are set here, and none of the caller's.
+	req.Header.Set(headerRequestID, r.id)
+	req.Header.Set("User-Agent", "jasminesaddle")
+	if r.body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	transport := c.transport
+	if r.fresh {
+		transport = c.fresh
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return nil, c.transportError(err)
+	}
+	if echoed := resp.Header.Values(headerRequestID); len(echoed) != 1 || echoed[0] != r.id {
+		// Closing an answer before its end also closes its connection, on which
+		// further answers could be misplaced.
+		resp.Body.Close()
+		return nil, c.errorf(Answered, fault.KindAnswerMismatch, remedyEngine,
+			"answered with another request's identifier or none")
+	}
+	return resp, nil
+}
+
+// readWhole reads an answer of at most limit bytes to its end.
+func (c *Client) readWhole(resp *http.Response, limit int64) ([]byte, error) {
+	defer resp.Body.Close()
+	if resp.ContentLength > limit {
+		return nil, c.tooLarge(limit)
+	}
+	var buf bytes.Buffer
+	if resp.ContentLength > 0 {
+		buf.Grow(int(resp.ContentLength) + bytes.MinRead)
+	}
+	n, err := buf.ReadFrom(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, c.transportError(err)
+	}
+	if n > limit {
+		return nil, c.tooLarge(limit)
+	}
+	// An answer without a length and without chunks ends with its connection,
+	// which also happens when it is cut. JSON shows whether it is whole.
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !json.Valid(buf.Bytes()) {
+		return nil, c.errorf(Answered, fault.KindBackendFailed, remedyEngine, "sent an answer without a recognizable end").ran()
+	}
+	return buf.Bytes(), nil
+}
+
+func (c *Client) tooLarge(limit int64) error {
+	return c.errorf(Answered, fault.KindBackendFailed, remedyEngine, "sent more than %d bytes", limit).ran()
+}
+
+// exchange sends the request and reads the whole answer.
+func (c *Client) exchange(ctx context.Context, r request, limit int64) (int, []byte, error) {
+	resp, err := c.roundTrip(ctx, r)
+	if err != nil {
+		return 0, nil, err
+	}
+	data, err := c.readWhole(resp, limit)
+	return resp.StatusCode, data, err
+}
+
+// Cancel ends the attempt on the engine. An attempt that has already ended is
+// no error.
+func (c *Client) Cancel(ctx context.Context, attemptID string) error {
+	if !validName(attemptID) {
+		return c.errorf(NotSent, fault.KindInternal, "use letters, digits and . _ -", "got an invalid attempt identifier")
+	}
+	status, _, err := c.exchange(ctx, request{
+		method: http.MethodDelete, path: pathStreams + url.PathEscape(attemptID), id: newID("cancel-"),
+		bounds: pool.Bounds{FirstByte: cancelTimeout, Gap: cancelTimeout},
+	}, maxOrderBytes)
+	if err != nil || status/100 == 2 || status == http.StatusNotFound {
+		return err
+	}
+	return c.errorf(Answered, fault.KindBackendFailed, remedyEngine, "answered a cancel with status %d", status)
+}
+
+// Load orders the engine to load an adapter version.
+func (c *Client) Load(ctx context.Context, o Order) error { return c.order(ctx, pathLoad, o) }
+
+// Unload orders the engine to unload an adapter version. An adapter that is not
+// resident is no error.
+func (c *Client) Unload(ctx context.Context, o Order) error { return c.order(ctx, pathUnload, o) }
+
+type orderBody struct {
+	Name string `json:"lora_name"`
+	Path string `json:"lora_path,omitempty"`
+}
+
+func (c *Client) order(ctx context.Context, path string, o Order) error {
+	body, err := json.Marshal(orderBody{Name: ModelName(o.Ref), Path: o.Weights})
+	if err != nil {
+		return c.errorf(NotSent, fault.KindInternal, "report this fault", "order cannot be encoded")
+	}
+	bound := orderTimeout
+	if until, ok := ctx.Deadline(); ok {
+		bound = min(bound, max(time.Millisecond, time.Until(until)))
+	}
+	status, _, err := c.exchange(ctx, request{
+		method: http.MethodPost, path: path, id: newID("order-"), body: body,
+		header: http.Header{headerFence: {formatUint(o.Fence)}},
+		bounds: pool.Bounds{FirstByte: bound, Gap: bound},
+	}, maxOrderBytes)
+	if err != nil {
+		return err
+	}
+	return c.orderStatus(path, status, o)
+}
+
+// orderStatus turns the status of an order into a typed error.
+func (c *Client) orderStatus(path string, status int, o Order) error {
+	switch {
+	case status/100 == 2, path == pathUnload && status == http.StatusNotFound:
+		return nil
+	case status == http.StatusPreconditionFailed:
+		return c.refused(fault.KindStaleOrder, "ask the present control leader",
+			"refused fencing number %d as old", o.Fence)
+	case status == http.StatusNotFound:
+		return c.refused(fault.KindUnknownAdapter, "check the weights in the manifest",
+			"knows no weights for %s", ModelName(o.Ref))
+	case status == http.StatusConflict, status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
+		return c.refused(fault.KindOverloaded, "unload an adapter first", "has no slot for %s", ModelName(o.Ref))
+	default:
+		return c.errorf(Answered, fault.KindBackendFailed, remedyEngine,
+			"answered an order for %s with status %d", ModelName(o.Ref), status)
+	}
+}
+
+// refused returns the error of an answer that says that nothing ran.
+func (c *Client) refused(kind fault.Kind, remedy, format string, args ...any) *Error {
+	e := c.errorf(Answered, kind, remedy, format, args...)
+	e.fault.WithRun(fault.NotRun)
+	return e
+}
+
+// Probe asks the engine over a fresh connection whether it is healthy and
+// returns its start identity. An open connection to an earlier run would hide a
+// restart, and a silent one would hide a healthy engine.
+func (c *Client) Probe(ctx context.Context) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	bounds := pool.Bounds{FirstByte: probeTimeout, Gap: probeTimeout}
+	status, _, err := c.exchange(ctx, request{
+		method: http.MethodGet, path: pathHealth, id: newID("probe-"), bounds: bounds, fresh: true,
+	}, maxOrderBytes)
+	if err != nil {
+		return "", err
+	}
+	if status != http.StatusOK {
+		return "", c.errorf(Answered, fault.KindBackendFailed, remedyEngine, "answered a health probe with status %d", status)
+	}
+	load, err := c.metrics(ctx, bounds, true)
+	return load.StartID, err
+}
+
+// errOf is used by the stream to tell an error of the pool from one of its own.
+func isPoolError(err error) bool {
+	var p *pool.Error
+	return errors.As(err, &p)
+}
--- /dev/null
+++ b/internal/engine/stream.go
@@ -0,0 +1,139 @@
+package engine
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+)
+
+// drainBound bounds the wait for the end of a stream's body after its end
+// marker. Only a body that is read to its end leaves its connection usable.
+const drainBound = 50 * time.Millisecond
+
+// Stream is the event stream of one attempt. Next is called by one goroutine at
+// a time; Close may be called by another.
+type Stream struct {
+	client *Client
+	body   io.ReadCloser
+	dec    *decoder
+	// last is the sequence number of the last event that was passed on.
+	last uint64
+	// resumed allows events up to last to come again before the first new one.
+	resumed bool
+	events  int
+	done    bool
+	err     error
+
+	close sync.Once
+}
+
+func newStream(c *Client, body io.ReadCloser, after uint64) *Stream {
+	return &Stream{client: c, body: body, dec: newDecoder(body), last: after, resumed: after > 0}
+}
+
+// Last returns the sequence number of the last event that Next returned. It is
+// where Resume continues.
+func (s *Stream) Last() uint64 { return s.last }
+
+// Next returns the next event in sequence. After the event with Done it returns
+// io.EOF. A gap, a repeat, an event without a sequence number and an end
+// without the end marker are errors and are never passed on.
+func (s *Stream) Next() (Event, error) {
+	if s.err != nil {
+		return Event{}, s.err
+	}
+	ev, err := s.next()
+	if err != nil {
+		s.err = err
+		s.Close()
+	}
+	return ev, err
+}
+
+func (s *Stream) next() (Event, error) {
+	if s.done {
+		return Event{}, io.EOF
+	}
+	for {
+		raw, err := s.dec.next()
+		if err != nil {
+			return Event{}, s.readError(err)
+		}
+		if s.events++; s.events > maxStreamEvents {
+			return Event{}, s.readError(errStreamTooBig)
+		}
+		done := string(raw.data) == "[DONE]"
+		if done && !raw.hasID {
+			raw.id, raw.hasID = s.last+1, true
+		}
+		switch {
+		case !raw.hasID || raw.id == 0:
+			return Event{}, s.readError(errBadEventID)
+		case raw.id <= s.last && s.resumed && !done:
+			continue
+		case raw.id != s.last+1:
+			return Event{}, s.sequenceError(raw.id)
+		}
+		s.resumed = false
+		s.last = raw.id
+		s.done = done
+		return Event{Seq: raw.id, Data: raw.data, Done: done}, nil
+	}
+}
+
+// sequenceError reports a gap or a repeat.
+func (s *Stream) sequenceError(got uint64) error {
+	return s.client.errorf(Answered, fault.KindStreamCut, "resume the stream after its last event",
+		"sent event %d after event %d", got, s.last).ran()
+}
+
+// readError reports a stream that ended without its end marker or that breaks
+// the protocol.
+func (s *Stream) readError(err error) error {
+	switch {
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return s.client.errorf(Answered, fault.KindStreamCut, "resume the stream after its last event",
+			"ended its stream without the end marker after event %d", s.last).ran()
+	case isPoolError(err):
+		return s.cutError(err)
+	default:
+		return s.client.errorf(Answered, fault.KindBackendFailed, remedyEngine, "broke the stream protocol: %v", err).ran()
+	}
+}
+
+// cutError reports a lost connection as a cut stream; silence and an end by the
+// caller keep their kind.
+func (s *Stream) cutError(err error) error {
+	e := s.client.transportError(err)
+	if e.fault.Kind != fault.KindBackendFailed {
+		return e
+	}
+	e.fault = fault.Wrap(err, fault.KindStreamCut, "engine "+s.client.name+" was cut off during its stream",
+		"resume the stream after its last event").WithRun(fault.Ran)
+	return e
+}
+
+// Close ends the stream. A stream that is not at its end loses its connection,
+// which the engine takes as a cut that may be resumed; Cancel ends it there.
+func (s *Stream) Close() error {
+	var err error
+	s.close.Do(func() {
+		if s.done {
+			s.drain()
+		}
+		err = s.body.Close()
+	})
+	return err
+}
+
+// drain reads the few bytes between the end marker and the end of the body.
+func (s *Stream) drain() {
+	if b, ok := s.body.(interface{ SetGap(time.Duration) }); ok {
+		b.SetGap(drainBound)
+		_, _ = io.CopyN(io.Discard, s.dec.r, 1024)
+	}
+}
--- /dev/null
+++ b/internal/standin/record.go
@@ -0,0 +1,155 @@
+package standin
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+)
+
+// Bounds on what a recorder keeps.
+const (
+	maxRecorded     = 200_000
+	maxHeaderValues = 32
+)
+
+// recorder counts executions and remembers the headers that arrived.
+type recorder struct {
+	mu        sync.Mutex
+	total     int
+	byRequest map[string]int
+	byKey     map[string]int
+	headers   map[string]map[string]int
+	watched   []string
+	leaks     []string
+	truncated bool
+}
+
+func newRecorder() *recorder {
+	return &recorder{byRequest: map[string]int{}, byKey: map[string]int{}, headers: map[string]map[string]int{}}
+}
+
+// observe remembers the headers of a request and searches the request for the
+// watched values.
+func (r *recorder) observe(req *http.Request, body []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, values := range req.Header {
+		known := r.headers[name]
+		if known == nil {
+			known = map[string]int{}
+			r.headers[name] = known
+		}
+		for _, v := range values {
+			if _, ok := known[v]; ok || len(known) < maxHeaderValues {
+				known[v]++
+			}
+		}
+	}
+	for _, secret := range r.watched {
+		if where := find(req, body, secret); where != "" && len(r.leaks) < maxHeaderValues {
+			r.leaks = append(r.leaks, where)
+		}
+	}
+}
+
+// find returns where the request holds the secret.
+func find(req *http.Request, body []byte, secret string) string {
+	if strings.Contains(req.URL.String(), secret) {
+		return "URL"
+	}
+	for name, values := range req.Header {
+		if strings.Contains(strings.Join(values, "\n"), secret) {
+			return "header " + name
+		}
+	}
+	if strings.Contains(string(body), secret) {
+		return "body"
+	}
+	return ""
+}
+
+// execute counts one execution and returns how often the key has run.
+func (r *recorder) execute(requestID, key string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.total++
+	r.count(r.byRequest, requestID)
+	return r.count(r.byKey, key)
+}
+
+func (r *recorder) count(m map[string]int, id string) int {
+	if id == "" {
+		return 0
+	}
+	if _, ok := m[id]; !ok && len(m) >= maxRecorded {
+		r.truncated = true
+		return 0
+	}
+	m[id]++
+	return m[id]
+}
+
+// Record is what a stand-in remembers of the requests that arrived.
+type Record struct {
+	// Executions counts the requests that began to run.
+	Executions int `json:"executions"`
+	// MaxPerRequest and MaxPerKey are the highest counts of one X-Request-Id
+	// and one Idempotency-Key.
+	MaxPerRequest int `json:"max_per_request"`
+	MaxPerKey     int `json:"max_per_key"`
+	// Headers are the header names with their first distinct values.
+	Headers map[string]map[string]int `json:"headers"`
+	// Leaks tells where watched values arrived.
+	Leaks []string `json:"leaks,omitempty"`
+	// Truncated is true when identifiers were no longer counted.
+	Truncated bool `json:"truncated,omitempty"`
+}
+
+func (r *recorder) record() Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := Record{
+		Executions: r.total, MaxPerRequest: highest(r.byRequest), MaxPerKey: highest(r.byKey),
+		Headers: map[string]map[string]int{}, Leaks: append([]string(nil), r.leaks...), Truncated: r.truncated,
+	}
+	for name, values := range r.headers {
+		copied := make(map[string]int, len(values))
+		for v, n := range values {
+			copied[v] = n
+		}
+		out.Headers[name] = copied
+	}
+	return out
+}
+
+func highest(m map[string]int) int {
+	most := 0
+	for _, n := range m {
+		most = max(most, n)
+	}
+	return most
+}
+
+// Executions returns how often the request identifier has run.
+func (r *recorder) Executions(requestID string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.byRequest[requestID]
+}
+
+// ExecutionsByKey returns how often the Idempotency-Key has run.
+func (r *recorder) ExecutionsByKey(key string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.byKey[key]
+}
+
+// Watch searches each later request for the values, for example callers' keys.
+func (r *recorder) Watch(values ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watched = append(r.watched, values...)
+}
+
+// Leaks tells where watched values arrived.
+func (r *recorder) Leaks() []string { return r.record().Leaks }
