Add rates, fair queue, routing, placement and quarantine

None of them has a clock, a socket or a goroutine.

- rate: an open reservation stays part of the burst for up to 4 s and is refundable for that long; an older one counts as spent in full.
Answers that a host did not receive are recognised by its counters and go back to the level.
Grants are max-min fair over recent grants.
- fairqueue: start-time fair queueing with tags given at service, so that a group that waits for a load costs its team nothing.
- routing: two random candidates and the one with the longest prefix.
- placement: undrain, loads in the order of waiting and team fairness, then drains by least expected demand, per base model.

--- /dev/null
+++ b/internal/fairqueue/queue.go
@@ -0,0 +1,193 @@
+// Package fairqueue holds the requests that wait on an entry host. It serves
+// classes by priority with a minimum share for batch, and teams within a class
+// by start-time fair queueing on tokens.
+package fairqueue
+
+import (
+	"cmp"
+	"container/heap"
+	"time"
+)
+
+// Class orders requests; a lower class is served first.
+type Class int
+
+// Classes in the order of service.
+const (
+	Interactive Class = iota
+	Batch
+	classes
+)
+
+// Item is one waiting request.
+type Item[T any] struct {
+	Team  string
+	Class Class
+	// Group is the adapter version. A group whose head is not ready does not
+	// block other groups.
+	Group string
+	// Cost is the number of tokens that fair queueing charges.
+	Cost               uint64
+	Enqueued, Deadline time.Time
+	Value              T
+}
+
+// Options sets the bounds of a Queue. Zero fields take the default.
+type Options struct {
+	// MaxItems bounds the queue.
+	MaxItems int
+	// MaxTeamItems bounds the items of one team.
+	MaxTeamItems int
+	// BatchShare is the least share of tokens that batch gets while it waits.
+	BatchShare float64
+}
+
+func (o Options) withDefaults() Options {
+	o.MaxItems = cmp.Or(o.MaxItems, 4096)
+	o.MaxTeamItems = cmp.Or(o.MaxTeamItems, 1024)
+	o.BatchShare = cmp.Or(o.BatchShare, 0.1)
+	return o
+}
+
+// Ticket identifies a queued item.
+type Ticket uint64
+
+// Queue is a bounded fair queue. It is not safe for concurrent use.
+type Queue[T any] struct {
+	opts      Options
+	weights   map[string]uint32
+	counts    map[string]int // items by team
+	items     map[Ticket]*node[T]
+	classes   [classes]class[T]
+	deadlines deadlines[T]
+	last      Ticket
+	// batchDebt is the number of tokens that batch is behind its share.
+	batchDebt float64
+}
+
+// New returns an empty queue.
+func New[T any](opts Options) *Queue[T] {
+	q := &Queue[T]{
+		opts: opts.withDefaults(), weights: map[string]uint32{},
+		counts: map[string]int{}, items: map[Ticket]*node[T]{},
+	}
+	for i := range q.classes {
+		q.classes[i].teams = map[string]*team[T]{}
+	}
+	return q
+}
+
+// SetWeight sets the team's share in fair queueing; 0 means 1.
+func (q *Queue[T]) SetWeight(name string, weight uint32) {
+	q.weights[name] = max(weight, 1)
+	for i := range q.classes {
+		if t := q.classes[i].teams[name]; t != nil {
+			t.weight = q.weight(name)
+		}
+	}
+}
+
+func (q *Queue[T]) weight(name string) float64 { return float64(max(q.weights[name], 1)) }
+
+// Len returns the number of waiting items.
+func (q *Queue[T]) Len() int { return len(q.items) }
+
+// Push adds an item. It returns false when the team's or the queue's bound is
+// reached.
+func (q *Queue[T]) Push(item Item[T]) (Ticket, bool) {
+	if item.Class < 0 || item.Class >= classes {
+		item.Class = Batch
+	}
+	if len(q.items) >= q.opts.MaxItems || q.counts[item.Team] >= q.opts.MaxTeamItems {
+		return 0, false
+	}
+	q.last++
+	n := &node[T]{item: item, ticket: q.last}
+	q.items[n.ticket] = n
+	q.counts[item.Team]++
+	q.classes[item.Class].push(n, q.weight(item.Team))
+	heap.Push(&q.deadlines, n)
+	return n.ticket, true
+}
+
+// Remove takes an item out of the queue. It returns false when the item has
+// left it already.
+func (q *Queue[T]) Remove(t Ticket) bool {
+	n := q.items[t]
+	if n == nil {
+		return false
+	}
+	q.remove(n)
+	return true
+}
+
+func (q *Queue[T]) remove(n *node[T]) {
+	delete(q.items, n.ticket)
+	if q.counts[n.item.Team]--; q.counts[n.item.Team] == 0 {
+		delete(q.counts, n.item.Team)
+	}
+	heap.Remove(&q.deadlines, n.index)
+	q.classes[n.item.Class].remove(n)
+}
+
+// Expired takes out the items whose deadline has passed, the earliest first.
+func (q *Queue[T]) Expired(now time.Time) []Item[T] {
+	var out []Item[T]
+	for len(q.deadlines) > 0 && !now.Before(q.deadlines[0].item.Deadline) {
+		n := q.deadlines[0]
+		q.remove(n)
+		out = append(out, n.item)
+	}
+	return out
+}
+
+// Pop takes out the next item that is ready. ready is asked at most once per
+// class, team and group, with the head of the group; it may reserve what the
+// item needs, since an item for which it returns true is the one returned.
+func (q *Queue[T]) Pop(now time.Time, ready func(*Item[T]) bool) (Item[T], bool) {
+	order := [classes]Class{Interactive, Batch}
+	if q.batchDebt > 0 {
+		order = [classes]Class{Batch, Interactive}
+	}
+	for _, c := range order {
+		if n := q.classes[c].next(now, ready); n != nil {
+			q.charge(c, float64(n.item.Cost))
+			q.remove(n)
+			return n.item, true
+		}
+	}
+	return Item[T]{}, false
+}
+
+// charge books served tokens. Batch gains its share of what interactive
+// receives only while batch items wait, and saves up no more than one second of
+// work would cost.
+func (q *Queue[T]) charge(c Class, cost float64) {
+	share := q.opts.BatchShare
+	switch {
+	case c == Batch:
+		q.batchDebt = max(q.batchDebt-cost*(1-share), -maxBatchDebt)
+	case q.classes[Batch].count > 0:
+		q.batchDebt = min(q.batchDebt+cost*share, maxBatchDebt)
+	default:
+		q.batchDebt = min(q.batchDebt, 0)
+	}
+}
+
+// maxBatchDebt bounds, in tokens, how long one class can be served ahead of the
+// other after the other had nothing ready.
+const maxBatchDebt = 16384
+
+// Ahead estimates how many tokens are served before a new item of the team.
+func (q *Queue[T]) Ahead(name string, c Class) uint64 {
+	if c != Interactive {
+		c = Batch
+	}
+	ahead := q.classes[c].ahead(name, q.weight(name))
+	share := q.opts.BatchShare
+	if c == Interactive {
+		return uint64(ahead + min(q.classes[Batch].cost, ahead*share/(1-share)))
+	}
+	interactive := q.classes[Interactive].cost
+	return uint64(ahead + min(interactive, max(ahead, 1)*(1-share)/share))
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,231 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func ref(name string) Ref { return Ref{name, "1"} }
+
+// engine returns an engine of 2 slots with ready and idle adapters that were
+// loaded a minute ago.
+func engine(name string, adapters ...string) Engine {
+	e := Engine{Name: name, FailureDomain: "d-" + name, Slots: 2, Healthy: true}
+	for _, a := range adapters {
+		e.Residents = append(e.Residents, Resident{Ref: ref(a), State: Ready, LastUsed: epoch, Since: epoch.Add(-time.Minute)})
+	}
+	return e
+}
+
+func waits(name, team string, n int, age time.Duration) Demand {
+	return Demand{Ref: ref(name), Team: team, Waiting: n, OldestWait: age, Arrivals: 1}
+}
+
+func arrives(name, team string, rate float64) Demand {
+	return Demand{Ref: ref(name), Team: team, Arrivals: rate}
+}
+
+func text(actions []Action) string {
+	var out []string
+	for _, a := range actions {
+		out = append(out, fmt.Sprint(a.Kind, " ", a.Ref.Adapter, "@", a.Engine))
+	}
+	return strings.Join(out, ", ")
+}
+
+// Guards against wrong single decisions; each row names the fault.
+func TestDecisions(t *testing.T) {
+	busy := engine("e1", "x", "y")
+	busy.Residents[0].InFlight = 1
+	young := engine("e1", "x", "y")
+	young.Residents[0].Since = epoch.Add(-time.Second)
+	draining := engine("e1", "x", "y")
+	draining.Residents[0].State = Draining
+	loading := engine("e1", "x", "y")
+	loading.Residents[0].State, loading.Residents[1].State = Loading, Loading
+	leaving := engine("e1")
+	leaving.Leaving = true
+	old := engine("e1")
+	old.Residents = []Resident{
+		{Ref: Ref{"a", "1"}, State: Ready, LastUsed: epoch.Add(-time.Minute), Since: epoch.Add(-time.Hour)},
+		{Ref: Ref{"a", "2"}, State: Ready, LastUsed: epoch, Since: epoch.Add(-time.Minute)},
+	}
+	oldBusy := engine("e1")
+	oldBusy.Residents = slices.Clone(old.Residents)
+	oldBusy.Residents[0].InFlight = 1
+	second := time.Second
+	for name, c := range map[string]struct {
+		s    Snapshot
+		want string
+	}{
+		"what waits is loaded":            {Snapshot{Engines: []Engine{engine("e1")}, Demand: []Demand{waits("a", "t", 1, 0)}}, "load a@e1"},
+		"no load on a leaving engine":     {Snapshot{Engines: []Engine{leaving, engine("e2")}, Demand: []Demand{waits("a", "t", 1, 0)}}, "load a@e2"},
+		"room by least demand":            {Snapshot{Engines: []Engine{engine("e1", "x", "y")}, Demand: []Demand{waits("a", "t", 1, 0), arrives("x", "t", 2), arrives("y", "t", 1)}}, "drain y@e1"},
+		"no drain while a request runs":   {Snapshot{Engines: []Engine{busy}, Demand: []Demand{waits("a", "t", 1, 0), arrives("y", "t", 9)}}, "drain y@e1"},
+		"no drain right after the load":   {Snapshot{Engines: []Engine{young}, Demand: []Demand{waits("a", "t", 1, 0), arrives("y", "t", 9)}}, "drain y@e1"},
+		"a drain is taken back":           {Snapshot{Engines: []Engine{draining}, Demand: []Demand{waits("x", "t", 1, 0)}}, "undrain x@e1"},
+		"a running drain is enough":       {Snapshot{Engines: []Engine{draining}, Demand: []Demand{waits("a", "t", 1, 0)}}, ""},
+		"store limit in flight":           {Snapshot{Engines: []Engine{loading, engine("e2")}, Demand: []Demand{waits("a", "t", 1, 0)}}, ""},
+		"store limit of starts":           {Snapshot{Engines: []Engine{engine("e1")}, Demand: []Demand{waits("a", "t", 1, 0)}, LoadStarts: []time.Time{epoch, epoch, epoch}}, ""},
+		"other engine after a failure":    {Snapshot{Engines: []Engine{engine("e1"), engine("e2")}, Demand: []Demand{waits("a", "t", 1, 0)}, Failures: []Failure{{ref("a"), "e1", epoch, 1}}}, "load a@e2"},
+		"backoff on all engines":          {Snapshot{Engines: []Engine{engine("e1"), engine("e2"), engine("e3")}, Demand: []Demand{waits("a", "t", 1, 0)}, Failures: []Failure{{ref("a"), "e1", epoch, 3}, {ref("a"), "e2", epoch, 1}}}, ""},
+		"retry after the backoff":         {Snapshot{Engines: []Engine{engine("e1")}, Demand: []Demand{waits("a", "t", 1, 0)}, Failures: []Failure{{ref("a"), "e1", epoch.Add(-second), 1}}}, "load a@e1"},
+		"replica in another domain":       {Snapshot{Engines: []Engine{engine("e1", "a"), engine("e2"), engine("e3")}, Demand: []Demand{arrives("a", "t", 6)}}, "load a@e2"},
+		"refill in order of demand":       {Snapshot{Engines: []Engine{engine("e1"), engine("e2")}, Demand: []Demand{arrives("a", "t", 0.2), arrives("b", "t", 0.4)}}, "load b@e1, load a@e2"},
+		"hysteresis without waiting":      {Snapshot{Engines: []Engine{engine("e1", "x", "y")}, Demand: []Demand{arrives("a", "t", 1), arrives("x", "t", 0.9), arrives("y", "t", 0.9)}}, ""},
+		"old version goes when unused":    {Snapshot{Engines: []Engine{old}, Demand: []Demand{{Ref: Ref{"a", "2"}, Arrivals: 1}}}, "drain a@e1"},
+		"old version serves until idle":   {Snapshot{Engines: []Engine{oldBusy}, Demand: []Demand{{Ref: Ref{"a", "2"}, Arrivals: 1}}}, ""},
+		"team bound drains the team's":    {Snapshot{Engines: []Engine{engine("e1", "x"), engine("e2", "y")}, Teams: []Team{{"t", 1}}, Demand: []Demand{waits("a", "t", 1, 0), arrives("x", "u", 0.1), arrives("y", "t", 3)}}, "drain y@e2"},
+		"few loads go before many":        {Snapshot{Engines: []Engine{engine("e1"), engine("e2"), loadingOf("e3", "z")}, Demand: []Demand{waits("a", "t", 9, second), waits("b", "u", 1, 0), arrives("z", "t", 1)}}, "load b@e1"},
+		"more waiting goes first":         {Snapshot{Engines: []Engine{engine("e1"), loadingOf("e3", "z")}, Demand: []Demand{waits("a", "t", 1, 0), waits("b", "t", 5, 0), arrives("z", "t", 1)}}, "load b@e1"},
+		"busy one goes after a long wait": {Snapshot{Engines: []Engine{busyEngine()}, Demand: []Demand{waits("a", "t", 1, 3*second), arrives("x", "t", 2), arrives("y", "t", 1)}}, "drain y@e1"},
+		"nothing with waiters is drained": {Snapshot{Engines: []Engine{engine("e1", "x", "y")}, Demand: []Demand{waits("a", "t", 1, 0), waits("x", "t", 1, 0), arrives("y", "t", 9)}}, "drain y@e1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.s.Now = epoch
+			must.Eq(t, c.want, text(NewPlanner(Options{Spare: -1}).Plan(c.s)))
+		})
+	}
+}
+
+func loadingOf(name, adapter string) Engine {
+	e := engine(name, adapter, adapter+"2")
+	e.Residents[0].State = Loading
+	return e
+}
+
+func busyEngine() Engine {
+	e := engine("e1", "x", "y")
+	e.Residents[0].InFlight, e.Residents[1].InFlight = 1, 1
+	return e
+}
+
+func randomSnapshot(t *rapid.T) Snapshot {
+	s := Snapshot{Now: epoch, Teams: []Team{{"t0", rapid.IntRange(0, 3).Draw(t, "bound")}}}
+	n := func(name string, high int) int { return rapid.IntRange(0, high).Draw(t, name) }
+	for i := range 12 {
+		d := Demand{Ref: ref(fmt.Sprint("a", i)), Team: fmt.Sprint("t", i%3), BaseModel: fmt.Sprint("m", i%2)}
+		d.Waiting, d.OldestWait, d.Arrivals = n("waiting", 3), time.Duration(n("wait ms", 4000))*time.Millisecond, float64(n("arrivals", 9))
+		s.Demand = append(s.Demand, d)
+	}
+	for i := range n("engines", 5) {
+		e := Engine{Name: fmt.Sprint("e", i), FailureDomain: fmt.Sprint("d", i%2), BaseModel: fmt.Sprint("m", i%2), Slots: n("slots", 4), Healthy: n("sick", 4) > 0, Leaving: n("leaving", 4) == 0}
+		for j := i % 2; len(e.Residents) < e.Slots && j < 12; j += 2 {
+			if n("resident", 2) == 0 {
+				e.Residents = append(e.Residents, Resident{Ref: s.Demand[j].Ref, State: State(1 + n("state", 2)), InFlight: n("in flight", 1), Since: epoch.Add(-time.Duration(n("age", 9)) * time.Second), LastUsed: epoch})
+			}
+		}
+		s.Engines = append(s.Engines, e)
+	}
+	for range n("starts", 3) {
+		s.LoadStarts = append(s.LoadStarts, epoch.Add(-time.Duration(n("start ms", 1500))*time.Millisecond))
+	}
+	return s
+}
+
+// Guards, over random snapshots, against loads beyond the store's limits, the
+// slots and a team's bound, drains of what has waiters or just came, actions on
+// unusable engines and plans that depend on the order of maps.
+func TestPlanKeepsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := randomSnapshot(t)
+		p := NewPlanner(Options{Spare: 2})
+		p.Plan(randomSnapshot(t)) // reused memory carries nothing over
+		plan := p.Plan(s)
+		must.Eq(t, plan, NewPlanner(Options{Spare: 2}).Plan(s))
+		used, loading, starts, team := map[string]int{}, 0, 0, 0
+		engines := map[string]Engine{}
+		states := map[string]Resident{}
+		for _, e := range s.Engines {
+			used[e.Name] = len(e.Residents)
+			engines[e.Name] = e
+			for _, r := range e.Residents {
+				states[e.Name+r.Ref.Adapter] = r
+				if r.State == Loading {
+					loading++
+				}
+			}
+		}
+		for _, at := range s.LoadStarts {
+			if epoch.Sub(at) < time.Second {
+				starts++
+			}
+		}
+		demand := map[Ref]Demand{}
+		for _, d := range s.Demand {
+			demand[d.Ref] = d
+		}
+		for _, r := range states {
+			if demand[r.Ref].Team == "t0" {
+				team++
+			}
+		}
+		for _, a := range plan {
+			r, resident := states[a.Engine+a.Ref.Adapter]
+			must.True(t, engines[a.Engine].Healthy && !engines[a.Engine].Leaving)
+			switch a.Kind {
+			case Load:
+				used[a.Engine]++
+				loading++
+				starts++
+				must.False(t, resident)
+				must.LessEq(t, engines[a.Engine].Slots, used[a.Engine])
+				must.True(t, loading <= 2 && starts <= 3)
+				must.Eq(t, demand[a.Ref].BaseModel, engines[a.Engine].BaseModel)
+				if a.Team == "t0" && s.Teams[0].MaxSlots > 0 {
+					team++
+					must.LessEq(t, s.Teams[0].MaxSlots, team)
+				}
+			case Drain:
+				must.Eq(t, Ready, r.State)
+				must.Eq(t, 0, demand[a.Ref].Waiting)
+				must.GreaterEq(t, 4*time.Second, epoch.Sub(r.Since))
+			case Undrain:
+				must.Eq(t, Draining, r.State)
+			}
+		}
+	})
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, engines := range []int{12, 100, 1000} {
+		for _, adapters := range []int{3000, 28_000} {
+			b.Run(fmt.Sprintf("%d engines/%d adapters", engines, adapters), func(b *testing.B) {
+				s := benchSnapshot(engines, adapters)
+				p := NewPlanner(Options{})
+				b.ReportAllocs()
+				for b.Loop() {
+					p.Plan(s)
+				}
+			})
+		}
+	}
+}
+
+func benchSnapshot(engines, adapters int) Snapshot {
+	r := rand.New(rand.NewPCG(1, 1))
+	s := Snapshot{Now: epoch}
+	for i := range adapters {
+		s.Demand = append(s.Demand, Demand{Ref: ref(fmt.Sprint("a", i)), Team: fmt.Sprint("t", i%5), Arrivals: r.ExpFloat64() / 10})
+		if i%100 == 0 {
+			s.Demand[i].Waiting = 1
+		}
+	}
+	for i := range engines {
+		e := Engine{Name: fmt.Sprintf("e%04d", i), FailureDomain: fmt.Sprint("d", i%8), Slots: 8, Healthy: true}
+		for j := range e.Slots {
+			e.Residents = append(e.Residents, Resident{Ref: s.Demand[(i*8+j)%adapters].Ref, State: Ready, InFlight: r.IntN(2), Since: epoch.Add(-time.Minute)})
+		}
+		s.Engines = append(s.Engines, e)
+	}
+	return s
+}
