--- /dev/null
+++ b/internal/cowmap/cowmap_test.go
@@ -0,0 +1,43 @@
+package cowmap
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// A version that changes after it was published would let a request act on a
+// table that it did not read.
+func TestVersionsAreImmutable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var m Map[int]
+		model := map[string]int{}
+		for range rapid.IntRange(1, 20).Draw(t, "edits") {
+			before := map[string]int{}
+			for k, v := range m.All {
+				before[k] = v
+			}
+			must.Eq(t, model, before)
+			e := m.Edit()
+			for range rapid.IntRange(0, 10).Draw(t, "ops") {
+				key := strconv.Itoa(rapid.IntRange(0, 200).Draw(t, "key"))
+				if v := rapid.IntRange(0, 9).Draw(t, "value"); v == 0 {
+					e.Delete(key)
+					delete(model, key)
+				} else {
+					e.Put(key, v)
+					model[key] = v
+				}
+			}
+			after := map[string]int{}
+			for k, v := range m.All {
+				after[k] = v
+			}
+			must.Eq(t, before, after)
+			m = e.Map()
+			must.Eq(t, len(model), m.Len())
+		}
+	})
+}
--- /dev/null
+++ b/internal/openai/openai_test.go
@@ -0,0 +1,72 @@
+package openai
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+)
+
+var bounds = Bounds{DefaultMaxTokens: 16, MaxTokens: 100}
+
+// A request that is reserved at less than the engine may generate would let a
+// team exceed its rate.
+func TestReservationCoversRequest(t *testing.T) {
+	for body, want := range map[string]uint64{
+		`{"model":"a","prompt":"x"}`:                                  16,
+		`{"model":"a","prompt":"x","max_tokens":null}`:                16,
+		`{"model":"a","prompt":"x","max_tokens":7}`:                   7,
+		`{"model":"a","prompt":"x","max_tokens":7,"n":3}`:             21,
+		`{"model":"a","prompt":"x","max_tokens":7,"n":2,"best_of":5}`: 35,
+		`{"model":"a","prompt":"x","max_tokens":7,"max_tokens":9}`:    9,
+	} {
+		r, err := Parse([]byte(body), false, bounds)
+		must.NoError(t, err, must.Sprint(body))
+		must.Eq(t, want, r.MaxTokens, must.Sprint(body))
+		out, err := r.Body("a:1")
+		must.NoError(t, err)
+		var sent struct {
+			Model     string `json:"model"`
+			MaxTokens uint64 `json:"max_tokens"`
+		}
+		must.NoError(t, json.Unmarshal(out, &sent))
+		must.Eq(t, "a:1", sent.Model)
+		must.Positive(t, sent.MaxTokens, must.Sprint("the engine would generate without a bound"))
+	}
+}
+
+// A wrong request must be refused with the field that is wrong, before it
+// takes a slot.
+func TestParseRefuses(t *testing.T) {
+	for body, field := range map[string]string{
+		``:                              "",
+		`[]`:                            "",
+		`null`:                          "",
+		`{"prompt":"x"}`:                "model",
+		`{"model":7,"prompt":"x"}`:      "model",
+		`{"model":"a"}`:                 "prompt",
+		`{"model":"a","prompt":"x"`:     "",
+		`{"model":"a","prompt":"x"} {}`: "",
+		`{"model":"a","prompt":"x","stream":"yes"}`:   "stream",
+		`{"model":"a","prompt":"x","max_tokens":0}`:   "max_tokens",
+		`{"model":"a","prompt":"x","max_tokens":101}`: "max_tokens",
+		`{"model":"a","prompt":"x","max_tokens":-1}`:  "max_tokens",
+		`{"model":"a","prompt":"x","n":1000}`:         "n",
+	} {
+		_, err := Parse([]byte(body), false, bounds)
+		e, ok := fault.As(err)
+		must.True(t, ok, must.Sprint(body))
+		must.Eq(t, fault.KindInvalidRequest, e.Kind)
+		must.Eq(t, field, e.Field, must.Sprint(body))
+		must.Eq(t, fault.NotRun, e.Run)
+	}
+	_, err := Parse([]byte(`{"model":"a","messages":"x"}`), true, bounds)
+	must.Error(t, err)
+}
+
+// Data with line breaks in one data line would be read as other fields.
+func TestEventKeepsLines(t *testing.T) {
+	must.Eq(t, "id: 3\ndata: a\ndata: b\n\n", string(AppendEvent(nil, 3, []byte("a\nb"))))
+}
--- /dev/null
+++ b/internal/retry/budget.go
@@ -0,0 +1,64 @@
+// Package retry bounds retries, so that a failing pool is not loaded with a
+// multiple of its normal traffic.
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// Options bound the retries of one host.
+type Options struct {
+	// Ratio is the share of first attempts that may be retried.
+	Ratio float64
+	// Floor is the number of retries per second that is always allowed. It
+	// lets a host with little traffic retry at all.
+	Floor float64
+	// Saved bounds the retries earned by Ratio that are kept for later.
+	Saved float64
+}
+
+// Defaults are the bounds of the design page: 10% of first attempts plus three
+// retries per second.
+func Defaults() Options { return Options{Ratio: 0.1, Floor: 3, Saved: 50} }
+
+// Budget counts first attempts and retries. It is safe for concurrent use.
+type Budget struct {
+	mu     sync.Mutex
+	opts   Options
+	earned float64
+	floor  float64
+	last   time.Time
+}
+
+// NewBudget returns a budget that starts with one second of the floor.
+func NewBudget(opts Options) *Budget {
+	return &Budget{opts: opts, floor: opts.Floor}
+}
+
+// First records a first attempt.
+func (b *Budget) First() {
+	b.mu.Lock()
+	b.earned = min(b.earned+b.opts.Ratio, b.opts.Saved)
+	b.mu.Unlock()
+}
+
+// Take reports whether a retry is allowed at now and counts it.
+func (b *Budget) Take(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.last.IsZero() {
+		b.floor = min(b.floor+b.opts.Floor*now.Sub(b.last).Seconds(), b.opts.Floor)
+	}
+	b.last = now
+	switch {
+	case b.floor >= 1:
+		b.floor--
+	// Ten additions of 0.1 give slightly less than 1.
+	case b.earned >= 1-1e-6:
+		b.earned = max(b.earned-1, 0)
+	default:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,40 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// A budget that allows more than 10% plus 3/s would turn a failing pool into
+// an overloaded one.
+func TestBudgetBounds(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		first, want int
+		seconds     int
+	}{
+		{name: "no traffic", first: 0, seconds: 10, want: 3 + 27},
+		{name: "ten percent", first: 100, seconds: 1, want: 3 + 10},
+		{name: "saved bound", first: 10_000, seconds: 1, want: 3 + 50},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := NewBudget(Defaults())
+			now := time.Unix(0, 0)
+			for range tc.first {
+				b.First()
+			}
+			got := 0
+			for range tc.seconds {
+				for range 1000 {
+					if b.Take(now) {
+						got++
+					}
+				}
+				now = now.Add(time.Second)
+			}
+			must.InDelta(t, float64(tc.want), float64(got), 0.5)
+		})
+	}
+}
