Add entry host front end, admission, dispatch, streams and call records

Cause: entry hosts need the caller-facing side of the design. Change: HTTP front end with go-kit steps, authentication for each request, token reservation and fair queueing, dispatch over an immutable fleet table per version, attempts with one retry budget, streams with resume, plain services, non-repeatable calls, crash marks, freshness, drain, counters and the decision log. finish is the one place that returns what a request holds.

--- /dev/null
+++ b/internal/entry/exchange.go
@@ -0,0 +1,155 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/config"
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/openai"
+)
+
+// Headers of answers and refusals.
+const (
+	headerRequestID = "X-Request-Id"
+	headerReason    = "X-Jasmine-Reason"
+	headerRun       = "X-Jasmine-Run"
+	// headerReplayed marks the kept answer of an earlier call.
+	headerReplayed = "X-Jasmine-Replayed"
+)
+
+// exchange is one request of a caller and its answer.
+type exchange struct {
+	id       string
+	received time.Time
+	w        http.ResponseWriter
+	r        *http.Request
+	cfg      *config.Snapshot
+
+	route *apiv1.Route
+	// rest is the path after the route's prefix.
+	rest string
+	team string
+	// key is what the caller presented. It is kept only to find copies of it.
+	key     string
+	keyHash config.KeyHash
+	keyed   bool
+
+	// started is true once a byte of the answer was written.
+	started bool
+	// endedBy is the kind of the error event that ended a stream.
+	endedBy fault.Kind
+	// adapter and backend are what the request was last dispatched to.
+	adapter string
+	backend string
+}
+
+func (x *exchange) routeName() string { return x.route.GetName() }
+
+// readBody reads the request's body within the host's bounds.
+func (x *exchange) readBody(l Limits) ([]byte, error) {
+	if x.r.ContentLength > l.BodyBytes {
+		return nil, tooLarge(l.BodyBytes)
+	}
+	control := http.NewResponseController(x.w)
+	// Recorders in tests have no deadline; the bound is then not set.
+	_ = control.SetReadDeadline(time.Now().Add(l.BodyTime))
+	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, l.BodyBytes), x.r.ContentLength)
+	var over *http.MaxBytesError
+	switch {
+	case errors.As(err, &over):
+		return nil, tooLarge(l.BodyBytes)
+	case err != nil:
+		return nil, fault.Wrap(err, fault.KindInvalidRequest, "the body did not arrive completely", "send the whole body").
+			WithRun(fault.NotRun)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+// readAll is io.ReadAll with one allocation when the size is known.
+func readAll(r io.Reader, size int64) ([]byte, error) {
+	if size < 0 {
+		return io.ReadAll(r)
+	}
+	buf := make([]byte, size)
+	n, err := io.ReadFull(r, buf)
+	return buf[:n], err
+}
+
+func tooLarge(limit int64) error {
+	return fault.Newf(fault.KindRequestTooLarge, "send a smaller body",
+		"the body is larger than %d bytes", limit).WithRun(fault.NotRun)
+}
+
+// refuse writes the error that ends the exchange. An answer that has begun is
+// cut instead, so that the caller cannot take it for a whole one.
+func (x *exchange) refuse(e *fault.Error) {
+	if x.started {
+		panic(http.ErrAbortHandler)
+	}
+	h := x.w.Header()
+	clear(h)
+	h.Set("Content-Type", "application/json")
+	h.Set(headerRequestID, x.id)
+	h.Set(headerReason, string(e.Kind))
+	h.Set(headerRun, string(e.Run))
+	status := e.HTTPStatus()
+	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", strconv.FormatInt(max(1, int64((e.RetryAfter+time.Second-1)/time.Second)), 10))
+	}
+	if status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
+	if e.Kind == fault.KindDraining || e.Kind == fault.KindRequestTooLarge {
+		h.Set("Connection", "close")
+	}
+	body := openai.Error(e, x.id)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	x.started = true
+	x.w.WriteHeader(status)
+	_, _ = x.w.Write(body)
+}
+
+// answer writes a whole answer.
+func (x *exchange) answer(status int, contentType string, body []byte) error {
+	h := x.w.Header()
+	h.Set("Content-Type", contentType)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	x.begin(status)
+	_, err := x.w.Write(body)
+	if err != nil {
+		return errCallerGone(err)
+	}
+	return nil
+}
+
+func (x *exchange) begin(status int) {
+	x.w.Header().Set(headerRequestID, x.id)
+	x.started = true
+	x.w.WriteHeader(status)
+}
+
+// callerGone is the error of an exchange whose caller closed the connection.
+type callerGone struct{ cause error }
+
+func (c callerGone) Error() string { return "the caller has gone: " + c.cause.Error() }
+func (c callerGone) Unwrap() error { return c.cause }
+
+func errCallerGone(cause error) error { return callerGone{cause} }
+
+// ended returns why ctx ended: a typed error when the host cancelled the
+// request, otherwise that the caller has gone.
+func ended(ctx context.Context, run fault.Run) error {
+	cause := context.Cause(ctx)
+	if e, ok := fault.As(cause); ok {
+		copied := *e
+		return copied.WithRun(run)
+	}
+	return errCallerGone(cause)
+}
--- /dev/null
+++ b/internal/entry/fixture_test.go
@@ -0,0 +1,423 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/config"
+	"github.com/jasminesaddle/jasminesaddle/internal/engine"
+	"github.com/jasminesaddle/jasminesaddle/internal/pool"
+	"github.com/jasminesaddle/jasminesaddle/internal/rate"
+	"github.com/jasminesaddle/jasminesaddle/internal/standin"
+	"github.com/jasminesaddle/jasminesaddle/internal/trace"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Keys of the callers.
+const (
+	keyRed  = "key-of-team-red-0001"
+	keyBlue = "key-of-team-blue-0002"
+)
+
+// fakeView is a view whose configuration and age a test sets.
+type fakeView struct {
+	mu      sync.Mutex
+	cfg     *config.Snapshot
+	synced  time.Time // zero: always fresh
+	changed chan struct{}
+}
+
+func (v *fakeView) Config() *config.Snapshot {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.cfg
+}
+
+func (v *fakeView) Age(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.synced.IsZero() {
+		return 0
+	}
+	return now.Sub(v.synced)
+}
+
+func (v *fakeView) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+func (v *fakeView) change(ops ...*apiv1.Op) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.cfg = v.cfg.Apply(v.cfg.Revision+1, ops)
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// fakeCalls keeps call records in memory and loses messages when told to.
+type fakeCalls struct {
+	mu      sync.Mutex
+	records map[string]*apiv1.BeginCall
+	done    map[string]*apiv1.FinishCall
+	// lost Begins are recorded and their answers lost; failed ones are not
+	// recorded. A negative count means always.
+	lostBegins, failedBegins, failedFinishes int
+	full, ownerGone                          bool
+}
+
+var errLost = errors.New("no answer")
+
+func take(n *int) bool {
+	if *n > 0 {
+		*n--
+		return true
+	}
+	return *n < 0
+}
+
+func (c *fakeCalls) Begin(_ context.Context, b *apiv1.BeginCall) (*apiv1.BeginCallResponse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if take(&c.failedBegins) {
+		return nil, errLost
+	}
+	key := b.GetId().String()
+	have := c.records[key]
+	if done := c.done[key]; done.GetState() == apiv1.CallState_CALL_STATE_NOT_RUN {
+		delete(c.done, key)
+		have = nil
+	}
+	resp := &apiv1.BeginCallResponse{}
+	switch {
+	case have == nil && c.full:
+		resp.Full = true
+	case have == nil:
+		c.records[key] = b
+		resp.Begun = true
+	case !bytes.Equal(have.GetFingerprint(), b.GetFingerprint()):
+		resp.FingerprintMismatch = true
+	case c.done[key] != nil:
+		resp.State, resp.Answer = c.done[key].GetState(), c.done[key].GetAnswer()
+	case have.GetRequestId() == b.GetRequestId():
+		resp.Begun = true
+	default:
+		resp.State, resp.OwnerLive = apiv1.CallState_CALL_STATE_STARTED, !c.ownerGone
+	}
+	if take(&c.lostBegins) {
+		return nil, errLost
+	}
+	return resp, nil
+}
+
+func (c *fakeCalls) Finish(_ context.Context, f *apiv1.FinishCall) (*apiv1.FinishCallResponse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if take(&c.failedFinishes) {
+		return nil, errLost
+	}
+	key := f.GetId().String()
+	have := c.records[key]
+	if have == nil || have.GetRequestId() != f.GetRequestId() || c.done[key] != nil {
+		return &apiv1.FinishCallResponse{}, nil
+	}
+	c.done[key] = proto.Clone(f).(*apiv1.FinishCall)
+	return &apiv1.FinishCallResponse{Applied: true}, nil
+}
+
+// fleet is an entry host with stand-in engines and a plain service over
+// in-memory connections on a fake clock.
+type fleet struct {
+	t        *testing.T
+	s        *Server
+	view     *fakeView
+	calls    *fakeCalls
+	engines  map[string]*standin.Engine
+	clients  map[string]*engine.Client
+	service  *standin.Service
+	pools    *pool.Set
+	account  *rate.Account
+	caller   *http.Client
+	log      bytes.Buffer
+	logMu    sync.Mutex
+	refuse   map[string]bool // addresses whose dials fail
+	dialMu   sync.Mutex
+	version  uint64
+	report   bool // reports run by themselves
+	granted  uint64
+	requests int
+}
+
+// options change a fleet before it starts.
+type options struct {
+	engines int
+	engine  standin.EngineOptions
+	service standin.ServiceOptions
+	limits  Limits
+	pool    pool.Options
+	// slots gives the adapters of each engine; nil loads a:1, a:2 and b:1.
+	slots map[string][]string
+}
+
+func hashOf(key string) string {
+	h := config.HashKey(key)
+	return hex.EncodeToString(h[:])
+}
+
+var serviceAddress = "http://192.0.2.100:9000"
+
+func address(i int) string { return "http://192.0.2." + string(rune('0'+i)) + ":8000" }
+
+func manifest(engines, maxBatch int) *apiv1.Manifest {
+	m := &apiv1.Manifest{
+		Cluster:    "c",
+		BaseModels: []*apiv1.BaseModel{{Name: "base"}},
+		Adapters: []*apiv1.Adapter{
+			{Name: "a", BaseModel: "base", DefaultVersion: "2",
+				Versions: []*apiv1.AdapterVersion{{Version: "1", Weights: "w/a/1"}, {Version: "2", Weights: "w/a/2"}}},
+			{Name: "b", BaseModel: "base", DefaultVersion: "1", Teams: []string{"blue"},
+				Versions: []*apiv1.AdapterVersion{{Version: "1", Weights: "w/b/1"}}},
+			{Name: "cold", BaseModel: "base", DefaultVersion: "1",
+				Versions: []*apiv1.AdapterVersion{{Version: "1", Weights: "w/cold/1"}}},
+		},
+		Teams: []*apiv1.Team{
+			{Name: "red", Rate: &apiv1.Rate{TokensPerSecond: 1000, BurstTokens: 100_000}},
+			{Name: "blue", Rate: &apiv1.Rate{TokensPerSecond: 1000, BurstTokens: 100_000}, MaxConcurrent: 2},
+		},
+		Keys: []*apiv1.Key{{Id: "r", Team: "red", Sha256: hashOf(keyRed)}, {Id: "b", Team: "blue", Sha256: hashOf(keyBlue)}},
+		Routes: []*apiv1.Route{
+			{Name: "v1", Path: "/v1", Kind: apiv1.RouteKind_ROUTE_KIND_MODEL, Class: apiv1.RouteClass_ROUTE_CLASS_INTERACTIVE, Pool: "llm"},
+			{Name: "batch", Path: "/batch/v1", Kind: apiv1.RouteKind_ROUTE_KIND_MODEL, Class: apiv1.RouteClass_ROUTE_CLASS_BATCH, Pool: "llm"},
+			{Name: "open", Path: "/open/v1", Kind: apiv1.RouteKind_ROUTE_KIND_MODEL, Pool: "llm", Open: true},
+			{Name: "files", Path: "/files", Kind: apiv1.RouteKind_ROUTE_KIND_SERVICE, Pool: "files"},
+			{Name: "pay", Path: "/pay", Kind: apiv1.RouteKind_ROUTE_KIND_SERVICE, Pool: "files", NonRepeatable: true, TimeoutMs: 5000},
+		},
+		BackendServers: []*apiv1.BackendServer{
+			{Name: "svc", Address: serviceAddress, Kind: apiv1.BackendKind_BACKEND_KIND_SERVICE, Pool: "files"},
+		},
+	}
+	for i := range engines {
+		m.BackendServers = append(m.BackendServers, &apiv1.BackendServer{
+			Name: "e" + string(rune('0'+i)), Address: address(i), Kind: apiv1.BackendKind_BACKEND_KIND_ENGINE,
+			Pool: "llm", BaseModel: "base", Slots: 8, MaxBatch: uint32(maxBatch),
+		})
+	}
+	return m
+}
+
+// run starts a fleet, runs the test and checks that nothing is held afterwards.
+func run(t *testing.T, o options, test func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, o)
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = f.s.Run(ctx) })
+		front := standin.NewPipeListener()
+		server := f.s.HTTPServer("")
+		wg.Go(func() { _ = server.Serve(front) })
+		f.caller = &http.Client{Transport: &http.Transport{DialContext: front.DialContext, DisableCompression: true}}
+		wg.Go(func() { f.background(ctx) })
+		f.sync()
+		test(f)
+		synctest.Wait()
+		f.settle()
+		f.caller.CloseIdleConnections()
+		_ = server.Close()
+		cancel()
+		wg.Wait()
+		f.pools.Close()
+		for _, e := range f.engines {
+			e.Close()
+		}
+		f.service.Close()
+	})
+}
+
+func newFleet(t *testing.T, o options) *fleet {
+	if o.engines == 0 {
+		o.engines = 1
+	}
+	f := &fleet{
+		t: t, engines: map[string]*standin.Engine{}, clients: map[string]*engine.Client{}, report: true,
+		calls:   &fakeCalls{records: map[string]*apiv1.BeginCall{}, done: map[string]*apiv1.FinishCall{}},
+		view:    &fakeView{cfg: config.FromManifest(manifest(o.engines, 16), 1), changed: make(chan struct{})},
+		account: rate.NewAccount("h", 1), refuse: map[string]bool{}, granted: 10_000,
+	}
+	listeners := map[string]*standin.PipeListener{}
+	listen := func(addr string) net.Listener {
+		l := standin.NewPipeListener()
+		listeners[addr] = l
+		return l
+	}
+	o.pool.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		f.dialMu.Lock()
+		refused := f.refuse[addr]
+		f.dialMu.Unlock()
+		if refused {
+			return nil, errors.New("connection refused")
+		}
+		return listeners[addr].DialContext(ctx, network, addr)
+	}
+	f.pools = pool.NewSet(o.pool)
+	for _, b := range f.view.cfg.Pool("llm") {
+		e := standin.NewEngine(o.engine)
+		f.engines[b.GetName()] = e
+		l := listen(b.GetAddress()[len("http://"):])
+		go func() { _ = e.Serve(l) }()
+		f.clients[b.GetName()] = engine.New(b, f.pools)
+		slots := o.slots[b.GetName()]
+		if o.slots == nil {
+			slots = []string{"a:1", "a:2", "b:1"}
+		}
+		for _, model := range slots {
+			f.load(b.GetName(), model)
+		}
+	}
+	f.service = standin.NewService(o.service)
+	l := listen(serviceAddress[len("http://"):])
+	go func() { _ = f.service.Serve(l) }()
+	f.s = New(Options{
+		Host: "h", Incarnation: 1, View: f.view, Account: f.account, Calls: f.calls, Pools: f.pools,
+		Trace: trace.NewRing(4096), Logger: zerolog.New(&lockedWriter{f: f}), Seed: 1, Limits: o.limits,
+	})
+	return f
+}
+
+type lockedWriter struct{ f *fleet }
+
+func (w *lockedWriter) Write(p []byte) (int, error) {
+	w.f.logMu.Lock()
+	defer w.f.logMu.Unlock()
+	return w.f.log.Write(p)
+}
+
+func (f *fleet) load(server, model string) {
+	ref := &apiv1.AdapterRef{Adapter: model[:len(model)-2], Version: model[len(model)-1:]}
+	must.NoError(f.t, f.clients[server].Load(context.Background(), engine.Order{Ref: ref, Weights: "w/" + model, Fence: 1}))
+}
+
+// background plays the control leader: it reports and grants tokens.
+func (f *fleet) background(ctx context.Context) {
+	for sleep(ctx, 250*time.Millisecond) {
+		f.grant()
+		if f.report {
+			f.sync()
+		}
+	}
+}
+
+func (f *fleet) grant() {
+	sent := time.Now()
+	req := f.account.Request(sent)
+	resp := &apiv1.BorrowResponse{Term: 1, Sequence: req.GetSequence()}
+	for _, team := range []string{"red", "blue"} {
+		resp.Grants = append(resp.Grants, &apiv1.TeamGrant{Team: team, Granted: f.granted, ValidMs: 2000, RetryAfterMs: 1000})
+	}
+	f.account.Apply(req, resp, sent)
+}
+
+// sync reports and applies a full answer from the engines' own state.
+func (f *fleet) sync() {
+	f.grant()
+	f.s.Report()
+	f.apply(nil)
+}
+
+// apply applies a full fleet table in which change may change engines.
+func (f *fleet) apply(change func(*apiv1.ReportResponse)) {
+	f.version++
+	resp := &apiv1.ReportResponse{Term: 1, FleetVersion: f.version, Full: true}
+	for _, b := range f.view.Config().Pool("llm") {
+		st := f.engines[b.GetName()].State()
+		row := &apiv1.EngineStatus{Name: b.GetName(), Healthy: true, StartId: st.StartID, Running: uint32(st.Running), Queued: uint32(st.Waiting)}
+		for _, model := range st.Adapters {
+			row.Slots = append(row.Slots, &apiv1.Slot{State: apiv1.SlotState_SLOT_STATE_READY,
+				Ref: &apiv1.AdapterRef{Adapter: model[:len(model)-2], Version: model[len(model)-1:]}})
+		}
+		resp.Engines = append(resp.Engines, row)
+	}
+	if change != nil {
+		change(resp)
+	}
+	f.s.ApplyFleet(resp, time.Now())
+}
+
+// settle checks that every counter is back at zero.
+func (f *fleet) settle() {
+	f.t.Helper()
+	must.Eq(f.t, 0, f.s.background.Load())
+	must.Eq(f.t, 0, f.s.running.count)
+	must.Eq(f.t, 0, f.s.admitted.total)
+	must.MapEmpty(f.t, f.s.admitted.teams)
+	must.Eq(f.t, 0, f.s.drain.open)
+	f.s.mu.Lock()
+	defer f.s.mu.Unlock()
+	must.Zero(f.t, f.s.d.models.Len()+f.s.d.calls.Len())
+	must.MapEmpty(f.t, f.s.d.tokens.teams)
+	for name, load := range f.s.d.inFlight {
+		must.Zero(f.t, load.total+load.suspects+len(load.models)+len(load.shares), must.Sprint(name))
+	}
+	for model, row := range f.s.d.demand {
+		must.MapEmpty(f.t, row.waiting, must.Sprint(model))
+	}
+}
+
+// reply is an answer as a caller sees it.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (r reply) reason() string { return r.header.Get(headerReason) }
+func (r reply) run() string    { return r.header.Get(headerRun) }
+
+// request returns a request of a caller with a key.
+func (f *fleet) request(ctx context.Context, method, path, key, body string) *http.Request {
+	req, err := http.NewRequestWithContext(ctx, method, "http://entry"+path, bytes.NewReader([]byte(body)))
+	must.NoError(f.t, err)
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	return req
+}
+
+func (f *fleet) do(req *http.Request) reply {
+	resp, err := f.caller.Do(req)
+	if err != nil {
+		return reply{err: err, header: http.Header{}}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
+func (f *fleet) post(path, key, body string) reply {
+	return f.do(f.request(f.t.Context(), http.MethodPost, path, key, body))
+}
+
+// completion returns the body of a completion request of n tokens.
+func completion(model, prompt string, n int, stream bool) string {
+	out, _ := json.Marshal(map[string]any{"model": model, "prompt": prompt, "max_tokens": n, "stream": stream})
+	return string(out)
+}
--- /dev/null
+++ b/internal/entry/model.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"net/http"
+	"slices"
+	"strings"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/config"
+	"github.com/jasminesaddle/jasminesaddle/internal/fairqueue"
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/openai"
+)
+
+// serveModelRoute serves the OpenAI-compatible paths below a route. The route's
+// own path may end with /v1 or leave it to the caller.
+func (s *Server) serveModelRoute(ctx context.Context, x *exchange, f *flight) error {
+	rest := strings.TrimPrefix(x.rest, "/v1")
+	method := http.MethodPost
+	switch {
+	case rest == "/models" || strings.HasPrefix(rest, "/models/"):
+		method = http.MethodGet
+	case rest != "/completions" && rest != "/chat/completions":
+		return fault.New(fault.KindUnknownRoute, "the route does not serve this path",
+			"use /models, /completions or /chat/completions").At("path").WithRun(fault.NotRun)
+	}
+	if x.r.Method != method {
+		return badRequest("method", "the path does not serve this method", "use "+method)
+	}
+	if method == http.MethodGet {
+		return s.serveModels(x, strings.TrimPrefix(strings.TrimPrefix(rest, "/models"), "/"))
+	}
+	return s.serveCompletion(ctx, x, f, "/v1"+rest)
+}
+
+func (s *Server) serveCompletion(ctx context.Context, x *exchange, f *flight, path string) error {
+	body, err := x.readBody(s.limits)
+	if err != nil {
+		return err
+	}
+	bounds := openai.Bounds{DefaultMaxTokens: s.limits.DefaultMaxTokens, MaxTokens: s.limits.MaxTokens}
+	req, err := openai.Parse(body, path == "/v1/chat/completions", bounds)
+	if err != nil {
+		return err
+	}
+	w := &work{x: x, f: f, granted: make(chan struct{}, 1), pool: x.route.GetPool(), class: classOf(x.route)}
+	if err := w.resolve(req.Model); err != nil {
+		return err
+	}
+	x.adapter = w.model
+	w.tokens = req.PromptTokens + req.MaxTokens
+	w.cost = w.tokens
+	w.fingerprint = fingerprint(x.team, x.routeName(), w.model, body)
+	if w.suspect, err = s.crashes.check(w.fingerprint, s.now()); err != nil {
+		return err
+	}
+	sent, err := req.Body(body)
+	if err != nil {
+		return err
+	}
+	w.promptTokens = req.PromptTokens
+	w.prefix = s.d.prefixes.Hashes(nil, w.model, req.Prompt)
+	defer s.finish(w)
+	s.budget.First()
+	if err := s.admit(ctx, w); err != nil {
+		return err
+	}
+	return s.attempts(ctx, w, &modelCall{path: path, body: sent, stream: req.Stream, promptTokens: req.PromptTokens})
+}
+
+func classOf(r *apiv1.Route) fairqueue.Class {
+	if r.GetClass() == apiv1.RouteClass_ROUTE_CLASS_BATCH {
+		return fairqueue.Batch
+	}
+	return fairqueue.Interactive
+}
+
+// resolve finds the adapter version or base model that a request names.
+func (w *work) resolve(model string) error {
+	cfg := w.x.cfg
+	if _, ok := cfg.BaseModel(model); ok {
+		w.model, w.baseModel = model, model
+		return nil
+	}
+	name, version := openai.SplitModel(model)
+	a, ok := cfg.Adapter(name)
+	if !ok {
+		return unknownAdapter("no adapter or base model has the name %s", name)
+	}
+	if !config.MayUse(a, w.x.team) {
+		return fault.Newf(fault.KindForbidden, "use an adapter that the team may call",
+			"the team may not call adapter %s", name).At("model").WithRun(fault.NotRun)
+	}
+	if version == "" && strings.Contains(model, ":") {
+		return badRequest("model", "the version after the colon is empty", "name a version or leave out the colon")
+	}
+	v, ok := config.Version(a, version)
+	if !ok {
+		return unknownAdapter("adapter %s does not have the version that the request names", name)
+	}
+	w.ref = &apiv1.AdapterRef{Adapter: name, Version: v.GetVersion()}
+	w.model, w.baseModel = modelName(w.ref), a.GetBaseModel()
+	return nil
+}
+
+func unknownAdapter(format, name string) error {
+	if len(name) > 128 {
+		name = name[:128]
+	}
+	return fault.Newf(fault.KindUnknownAdapter, "use a model from the model list", format, name).
+		At("model").WithRun(fault.NotRun)
+}
+
+// fingerprint identifies what a request asks for. The parts are length-prefixed,
+// so that two different requests never hash the same bytes.
+func fingerprint(parts ...any) []byte {
+	h := sha256.New()
+	for _, part := range parts {
+		var data []byte
+		switch v := part.(type) {
+		case string:
+			data = []byte(v)
+		case []byte:
+			data = v
+		}
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(data)))
+		h.Write(size[:])
+		h.Write(data)
+	}
+	return h.Sum(nil)
+}
+
+// modelList caches the sorted adapters of one configuration.
+type modelList struct {
+	cfg      *config.Snapshot
+	adapters []*apiv1.Adapter
+	bases    []*apiv1.BaseModel
+}
+
+func (s *Server) serveModels(x *exchange, id string) error {
+	list := s.models.Load()
+	if list == nil || list.cfg != x.cfg {
+		list = &modelList{cfg: x.cfg, adapters: x.cfg.Adapters(), bases: x.cfg.Manifest().GetBaseModels()}
+		s.models.Store(list)
+	}
+	var out []openai.Model
+	for _, b := range list.bases {
+		out = append(out, openai.Model{ID: b.GetName()})
+	}
+	for _, a := range list.adapters {
+		if config.MayUse(a, x.team) {
+			out = append(out, openai.Model{ID: a.GetName(), Parent: a.GetBaseModel()})
+		}
+	}
+	if id == "" {
+		return x.answer(http.StatusOK, "application/json", openai.Models(out))
+	}
+	at := slices.IndexFunc(out, func(m openai.Model) bool { return m.ID == id })
+	if at < 0 {
+		return unknownAdapter("no adapter or base model has the name %s", id)
+	}
+	return x.answer(http.StatusOK, "application/json", openai.OneModel(out[at]))
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,189 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/config"
+	"github.com/jasminesaddle/jasminesaddle/internal/engine"
+	"github.com/jasminesaddle/jasminesaddle/internal/retry"
+)
+
+// Server is the caller-facing side of an entry host.
+type Server struct {
+	opts    Options
+	limits  Limits
+	now     func() time.Time
+	prefix  string
+	counter atomic.Uint64
+	metrics *metrics
+	budget  *retry.Budget
+	serve   endpoint.Endpoint
+	models  atomic.Pointer[modelList]
+
+	admitted admitted
+	running  runningSet
+	drain    drainState
+	clients  clients
+	crashes  crashes
+	// background counts the cancellations and call records that outlive their
+	// request.
+	background     atomic.Int64
+	backgroundDone sync.WaitGroup
+
+	// mu guards dispatch: the fleet table, the queues and the in-flight counts
+	// change together, so that a report never names a fleet version that a
+	// starting request has not seen.
+	mu sync.Mutex
+	d  *dispatch
+}
+
+// New returns a server. Run must run while its handler serves.
+func New(opts Options) *Server {
+	s := &Server{opts: opts, limits: opts.Limits.withDefaults(), now: opts.Now}
+	if s.now == nil {
+		s.now = time.Now
+	}
+	s.prefix = opts.Host + "-" + strconv.FormatUint(opts.Incarnation, 36) + "-"
+	s.metrics = newMetrics()
+	s.budget = retry.NewBudget(retry.Defaults())
+	s.admitted.teams = map[string]int{}
+	s.running.byKey = map[runningKey]map[*flight]struct{}{}
+	s.clients.byName = map[string]*client{}
+	s.crashes.init()
+	s.d = newDispatch(s)
+	s.serve = s.steps()
+	return s
+}
+
+// Run runs the systems that depend on time until ctx ends, and then waits for
+// the releases and cancellations that are still under way.
+func (s *Server) Run(ctx context.Context) error {
+	defer s.backgroundDone.Wait()
+	ticker := time.NewTicker(s.limits.Tick)
+	defer ticker.Stop()
+	changed := s.opts.View.Changed()
+	s.configChanged()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+			changed = s.opts.View.Changed()
+			s.configChanged()
+		case <-ticker.C:
+			now := s.now()
+			s.checkFreshness(now)
+			s.mu.Lock()
+			s.d.tick(now)
+			s.mu.Unlock()
+		}
+	}
+}
+
+// configChanged brings what is derived from the configuration up to date.
+func (s *Server) configChanged() {
+	cfg := s.opts.View.Config()
+	s.cancelWithdrawn(cfg)
+	gone := s.clients.retain(cfg)
+	for _, name := range gone {
+		s.opts.Pools.Forget(name)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.d.configChanged(cfg, gone)
+	s.d.pump(s.now())
+}
+
+// nextID returns a request identifier that no other request of the fleet has.
+// A caller's own identifier is not used: two requests with one identifier could
+// be taken for one in the records of non-repeatable calls.
+func (s *Server) nextID() string {
+	return s.prefix + strconv.FormatUint(s.counter.Add(1), 36)
+}
+
+// ApplyFleet brings the fleet table up to date with the answer to a report.
+func (s *Server) ApplyFleet(resp *apiv1.ReportResponse, received time.Time) {
+	s.crashes.apply(resp, received)
+	s.mu.Lock()
+	s.d.applyFleet(resp, received)
+	s.d.pump(s.now())
+	s.mu.Unlock()
+	if resp.GetDrain() {
+		s.Drain()
+	}
+}
+
+// client is the connection to one backend server under one configuration.
+type client struct {
+	server *apiv1.BackendServer
+	engine *engine.Client
+}
+
+// clients holds a client per backend server in use.
+type clients struct {
+	mu     sync.Mutex
+	byName map[string]*client
+}
+
+// get returns the client of a backend server, a new one when the address or
+// kind in the configuration has changed.
+func (c *clients) get(s *Server, b *apiv1.BackendServer) *client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if have := c.byName[b.GetName()]; have != nil && (have.server == b || sameServer(have.server, b)) {
+		return have
+	}
+	made := &client{server: b, engine: engine.New(b, s.opts.Pools)}
+	c.byName[b.GetName()] = made
+	return made
+}
+
+func sameServer(a, b *apiv1.BackendServer) bool {
+	return a.GetAddress() == b.GetAddress() && a.GetKind() == b.GetKind()
+}
+
+// HTTPServer returns an http.Server for the caller-facing listener with bounds
+// on headers and idle time.
+func (s *Server) HTTPServer(addr string) *http.Server {
+	return &http.Server{
+		Addr:              addr,
+		Handler:           s.Handler(),
+		ReadHeaderTimeout: 10 * time.Second,
+		IdleTimeout:       2 * time.Minute,
+		MaxHeaderBytes:    s.limits.HeaderBytes,
+	}
+}
+
+// later runs f after its request has ended. Run waits for it.
+func (s *Server) later(f func()) {
+	s.background.Add(1)
+	s.backgroundDone.Go(func() {
+		defer s.background.Add(-1)
+		f()
+	})
+}
+
+// retain drops the clients of backend servers that the configuration no longer
+// names and returns their names.
+func (c *clients) retain(cfg *config.Snapshot) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var gone []string
+	for name := range c.byName {
+		if _, ok := cfg.BackendServer(name); !ok {
+			delete(c.byName, name)
+			gone = append(gone, name)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
--- a/internal/openai/answer.go
+++ b/internal/openai/answer.go
@@ -120,3 +120,11 @@
 	}
 	return v.Usage.Total, true
 }
+
+// OneModel returns the body that describes one model.
+func OneModel(m Model) []byte {
+	m.Object = "model"
+	m.OwnedBy = "jasminesaddle"
+	out, _ := json.Marshal(m)
+	return out
+}
--- a/internal/openai/request.go
+++ b/internal/openai/request.go
@@ -34,6 +34,8 @@
 	Prompt []byte
 
 	fields map[string]json.RawMessage
+	// defaulted is true when the limit is not the caller's.
+	defaulted bool
 }
 
 // maxFields bounds the top-level fields of a request; the protocol has about 40.
@@ -66,15 +68,12 @@
 	return r, nil
 }
 
-// Body returns the request with the model that the engine knows. The body is
-// written anew from its fields, so that a field named twice reaches the engine
-// once, as it was read here.
-func (r *Request) Body(model string) ([]byte, error) {
-	name, err := json.Marshal(model)
-	if err != nil {
-		return nil, err
+// Body returns the body with the limit on generated tokens that was reserved.
+// body is what was parsed; it is returned as it is when it names a limit.
+func (r *Request) Body(body []byte) ([]byte, error) {
+	if !r.defaulted {
+		return body, nil
 	}
-	r.fields["model"] = name
 	var out bytes.Buffer
 	enc := json.NewEncoder(&out)
 	enc.SetEscapeHTML(false)
@@ -137,6 +136,7 @@
 	if limit == nil {
 		limit = &bounds.DefaultMaxTokens
 		r.fields["max_tokens"], _ = json.Marshal(*limit)
+		r.defaulted = true
 	}
 	choices := uint64(1)
 	for _, name := range []string{"n", "best_of"} {
