state: add the replicated state machine with call records

The control hosts need one deterministic machine for the configuration, the records of non-repeatable calls and the quarantined fingerprints. Changes take the next number only; digests of 65,536 numbers are kept so that a resend after a lost answer is recognised.

No measurement yet.

--- /dev/null
+++ b/internal/state/history.go
@@ -0,0 +1,126 @@
+package state
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+)
+
+const (
+	// MaxChanges bounds the changes kept with their ops. Hosts at most this far
+	// behind get a delta. At 54,000 changes a day it is 3.6 hours.
+	MaxChanges = 8192
+	// MaxChangeBytes bounds the size of these changes. The size of the whole
+	// configuration of 28,000 adapters is about 4 MB, so a delta of more than
+	// this costs more than the configuration.
+	MaxChangeBytes = 8 << 20
+	// MaxNumbers bounds the accepted numbers kept with their digests. A resend
+	// is recognised within this many changes: 29 hours at 54,000 changes a day.
+	MaxNumbers = 65_536
+)
+
+// history holds the last accepted changes, and the digests of those before.
+// The numbers are contiguous and end at the revision in force.
+type history struct {
+	receipts []*apiv1.ChangeReceipt
+	changes  []*apiv1.Change
+	// bytes is the size of the changes.
+	bytes int
+}
+
+func (h *history) add(c *apiv1.Change) {
+	h.changes = append(h.changes, c)
+	h.bytes += proto.Size(c)
+	for len(h.changes) > MaxChanges || h.bytes > MaxChangeBytes {
+		h.dropOldestOps()
+	}
+	for len(h.receipts) > 0 && len(h.receipts)+len(h.changes) > MaxNumbers {
+		h.receipts[0] = nil
+		h.receipts = h.receipts[1:]
+	}
+}
+
+// dropOldestOps turns the oldest change into a receipt.
+func (h *history) dropOldestOps() {
+	c := h.changes[0]
+	h.bytes -= proto.Size(c)
+	h.changes[0] = nil
+	h.changes = h.changes[1:]
+	h.receipts = append(h.receipts, receiptOf(c))
+}
+
+func receiptOf(c *apiv1.Change) *apiv1.ChangeReceipt {
+	return &apiv1.ChangeReceipt{
+		Number: c.GetNumber(), Digest: c.GetDigest(), AcceptedUnixMs: c.GetAcceptedUnixMs(), Author: c.GetAuthor(),
+	}
+}
+
+// oldest returns the oldest kept number, or 0.
+func (h *history) oldest() uint64 {
+	if len(h.receipts) > 0 {
+		return h.receipts[0].GetNumber()
+	}
+	if len(h.changes) > 0 {
+		return h.changes[0].GetNumber()
+	}
+	return 0
+}
+
+// last returns the newest number, or 0.
+func (h *history) last() uint64 {
+	if n := len(h.changes); n > 0 {
+		return h.changes[n-1].GetNumber()
+	}
+	if n := len(h.receipts); n > 0 {
+		return h.receipts[n-1].GetNumber()
+	}
+	return 0
+}
+
+// receipt returns what is kept of the number.
+func (h *history) receipt(number uint64) (*apiv1.ChangeReceipt, bool) {
+	oldest := h.oldest()
+	if oldest == 0 || number < oldest || number > h.last() {
+		return nil, false
+	}
+	at := number - oldest
+	if at < uint64(len(h.receipts)) {
+		return h.receipts[at], true
+	}
+	return receiptOf(h.changes[at-uint64(len(h.receipts))]), true
+}
+
+// since returns the changes after the revision.
+func (h *history) since(revision uint64) ([]*apiv1.Change, bool) {
+	last := h.last()
+	if revision == last {
+		return nil, true
+	}
+	if revision > last || len(h.changes) == 0 || revision+1 < h.changes[0].GetNumber() {
+		return nil, false
+	}
+	return slices.Clone(h.changes[revision+1-h.changes[0].GetNumber():]), true
+}
+
+// list returns at most limit changes from the number on.
+func (h *history) list(from uint64, limit int) []*apiv1.Change {
+	var out []*apiv1.Change
+	oldest, last := h.oldest(), h.last()
+	if oldest == 0 {
+		return nil
+	}
+	for n := max(from, oldest); n <= last && len(out) < limit; n++ {
+		at := n - oldest
+		if at >= uint64(len(h.receipts)) {
+			out = append(out, h.changes[at-uint64(len(h.receipts))])
+			continue
+		}
+		r := h.receipts[at]
+		out = append(out, &apiv1.Change{
+			Number: r.GetNumber(), Digest: r.GetDigest(), AcceptedUnixMs: r.GetAcceptedUnixMs(), Author: r.GetAuthor(),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/state/snapshot.go
@@ -0,0 +1,127 @@
+package state
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/calls"
+	"github.com/jasminesaddle/jasminesaddle/internal/config"
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/manifest"
+)
+
+// snapshotFormat is the version of the encoding. It grows when an older
+// release could not read the state correctly.
+const snapshotFormat = 1
+
+// Snapshot returns the encoded state. Entities, changes and records are never
+// changed in place, so only the lists are copied under the lock.
+func (m *Machine) Snapshot() ([]byte, error) {
+	s, cfg := m.capture()
+	s.Config, s.ConfigDigest = cfg.Manifest(), cfg.Digest().Bytes()
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.KindInternal, "the state cannot be encoded", "report this as a defect")
+	}
+	return encoded, nil
+}
+
+func (m *Machine) capture() (*apiv1.StateSnapshot, *config.Snapshot) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return &apiv1.StateSnapshot{
+		Format:       snapshotFormat,
+		AppliedIndex: m.applied,
+		Revision:     m.config.Revision,
+		Changes:      slices.Clone(m.history.changes),
+		Receipts:     slices.Clone(m.history.receipts),
+		Calls:        m.calls.Snapshot(),
+		Quarantines:  m.quarantines.sorted(),
+		ClockUnixMs:  m.clock,
+	}, m.config
+}
+
+// Restore replaces the state with an encoded one. On an error the state is
+// left as it was.
+func (m *Machine) Restore(data []byte) error {
+	s := &apiv1.StateSnapshot{}
+	if err := proto.Unmarshal(data, s); err != nil {
+		return fault.Wrap(err, fault.KindStorageDamaged, "the snapshot cannot be decoded", damagedRemedy)
+	}
+	if s.GetFormat() > snapshotFormat {
+		return fault.Newf(fault.KindStorageVersion, "run a newer release",
+			"the snapshot has format %d; this release reads up to %d", s.GetFormat(), snapshotFormat)
+	}
+	if s.GetFormat() == 0 {
+		return damaged("format", "the snapshot has no format")
+	}
+	next, err := decode(s)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.applied, m.clock = s.GetAppliedIndex(), s.GetClockUnixMs()
+	m.config, m.index, m.history = next.config, next.index, next.history
+	m.calls, m.quarantines = next.calls, next.quarantines
+	m.notify()
+	return nil
+}
+
+const damagedRemedy = "fetch the snapshot from another control host"
+
+func damaged(field, message string) error {
+	return fault.New(fault.KindStorageDamaged, message, damagedRemedy).At(field)
+}
+
+// decode builds the tables of a snapshot. It does not repeat the manifest's
+// checks: a release with stricter checks must still start with what is in force.
+func decode(s *apiv1.StateSnapshot) (*Machine, error) {
+	cfg := config.FromManifest(s.GetConfig(), s.GetRevision())
+	if !bytes.Equal(cfg.Digest().Bytes(), s.GetConfigDigest()) {
+		return nil, damaged("config", "the configuration does not match its digest")
+	}
+	h, err := decodeHistory(s)
+	if err != nil {
+		return nil, err
+	}
+	table, err := calls.Restore(s.GetCalls())
+	if err != nil {
+		return nil, err
+	}
+	q := quarantines{}
+	for _, p := range s.GetQuarantines() {
+		if len(p.GetFingerprint()) != sha256.Size {
+			return nil, damaged("quarantines", "a fingerprint has the wrong length")
+		}
+		q[string(p.GetFingerprint())] = p
+	}
+	return &Machine{config: cfg, index: manifest.NewIndex(cfg), history: h, calls: table, quarantines: q}, nil
+}
+
+// decodeHistory checks that the numbers are contiguous up to the revision.
+func decodeHistory(s *apiv1.StateSnapshot) (history, error) {
+	h := history{receipts: s.GetReceipts(), changes: s.GetChanges()}
+	want := h.oldest()
+	for _, r := range h.receipts {
+		if r.GetNumber() != want {
+			return h, damaged("receipts", "the numbers of the changes are not contiguous")
+		}
+		want++
+	}
+	for _, c := range h.changes {
+		if c.GetNumber() != want {
+			return h, damaged("changes", "the numbers of the changes are not contiguous")
+		}
+		want++
+		h.bytes += proto.Size(c)
+	}
+	if h.last() != s.GetRevision() {
+		return h, damaged("revision", "the history does not end at the revision")
+	}
+	return h, nil
+}
