view: keep a host's copy of the configuration fresh

A host must know how old its copy is without comparing clocks. The view dates it by the send time of Sync plus the held time minus the age of the source's view, takes deltas whose digest matches, asks for the whole otherwise, and never returns to a lower revision.

The tests run on a fake clock: partition, lost and slow answers, a source behind, a chain of relays, 500 and 10,000 changes behind, damaged deltas.

--- /dev/null
+++ b/internal/view/exchange.go
@@ -0,0 +1,175 @@
+package view
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/config"
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+)
+
+// exchange asks the current source once and returns the pause before the next
+// exchange.
+func (v *View) exchange(ctx context.Context, sent time.Time) time.Duration {
+	v.returnToFirst(sent)
+	req := v.request()
+	callCtx, cancel := context.WithTimeout(ctx, v.timeout(req))
+	resp, err := v.opts.Sources[v.source].Sync(callCtx, req)
+	cancel()
+	received := time.Now()
+	if ctx.Err() != nil {
+		return 0
+	}
+	before := v.Config().Revision
+	if err == nil {
+		err = v.apply(resp, sent, received)
+	}
+	if err != nil {
+		v.opts.Logger.Warn().Err(err).Int("source", v.source).Uint64("revision", before).Msg("sync failed")
+		return v.failed(received)
+	}
+	v.failures = 0
+	if age := time.Duration(resp.GetAgeMs()) * time.Millisecond; age > v.opts.MaxSourceAge {
+		v.opts.Logger.Warn().Dur("age", age).Int("source", v.source).Msg("the source has an old view")
+		return v.failed(received)
+	}
+	if v.Config().Revision != before || v.needFull {
+		return 0
+	}
+	return v.opts.Spacing - received.Sub(sent)
+}
+
+// timeout bounds one exchange. Every second round of failures has more time,
+// because a large answer over a slow link would never fit the short bound.
+func (v *View) timeout(req *apiv1.SyncRequest) time.Duration {
+	if req.GetRevision() == 0 || v.failures/len(v.opts.Sources)%2 == 1 {
+		return v.opts.FullTimeout
+	}
+	return v.opts.Hold + v.opts.Margin
+}
+
+// request confirms what is in force, or asks for the whole configuration.
+func (v *View) request() *apiv1.SyncRequest {
+	cfg := v.Config()
+	req := &apiv1.SyncRequest{
+		Cluster:   v.opts.Cluster,
+		Host:      v.opts.Host,
+		MaxHoldMs: uint32(v.opts.Hold.Milliseconds()),
+	}
+	if !v.needFull {
+		req.Revision, req.Digest = cfg.Revision, cfg.Digest().Bytes()
+	}
+	return req
+}
+
+// failed moves to the next source. After a round without success it pauses.
+func (v *View) failed(now time.Time) time.Duration {
+	v.source = (v.source + 1) % len(v.opts.Sources)
+	v.movedAt = now
+	v.failures++
+	if v.failures%len(v.opts.Sources) == 0 {
+		return v.opts.Pause
+	}
+	return 0
+}
+
+// returnToFirst goes back to the first source a while after a failover.
+func (v *View) returnToFirst(now time.Time) {
+	if v.source != 0 && now.Sub(v.movedAt) >= v.opts.ReturnAfter {
+		v.source, v.movedAt = 0, now
+	}
+}
+
+// apply takes over an answer.
+func (v *View) apply(resp *apiv1.SyncResponse, sent, received time.Time) error {
+	cfg := v.Config()
+	if resp.GetRevision() < cfg.Revision {
+		// The source is behind. Its answer also says nothing about how recent this
+		// host's revision is, so the age is left as it is.
+		return fault.Newf(fault.KindUnavailable, "the next source is asked",
+			"the source has revision %d, this host has %d", resp.GetRevision(), cfg.Revision).At("revision")
+	}
+	next, err := v.next(cfg, resp)
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(next.Digest().Bytes(), resp.GetDigest()) {
+		return v.mismatch(next)
+	}
+	v.needFull = false
+	v.store(next, resp, asOf(resp, sent, received))
+	return nil
+}
+
+// mismatch asks for the whole configuration in the next exchange. The view
+// keeps what it has, and its age grows until the repair.
+func (v *View) mismatch(next *config.Snapshot) error {
+	v.needFull = true
+	return fault.Newf(fault.KindInvalidMessage, "the whole configuration is requested",
+		"the content at revision %d does not match its digest", next.Revision).At("digest")
+}
+
+// next returns the configuration that an answer leads to.
+func (v *View) next(cfg *config.Snapshot, resp *apiv1.SyncResponse) (*config.Snapshot, error) {
+	if full := resp.GetFull(); full != nil {
+		if full.GetCluster() != v.opts.Cluster {
+			return nil, fault.Newf(fault.KindWrongCluster, "correct the address of the source",
+				"the source serves cluster %q", full.GetCluster()).At("cluster")
+		}
+		return config.FromManifest(full, resp.GetRevision()), nil
+	}
+	next := cfg
+	var ops []*apiv1.Op
+	revision := cfg.Revision
+	for _, c := range resp.GetChanges() {
+		if c.GetNumber() <= cfg.Revision {
+			continue
+		}
+		if c.GetNumber() != revision+1 {
+			v.needFull = true
+			return nil, fault.Newf(fault.KindInvalidMessage, "the whole configuration is requested",
+				"change %d follows revision %d", c.GetNumber(), revision).At("changes")
+		}
+		revision = c.GetNumber()
+		ops = append(ops, c.GetOps()...)
+	}
+	if revision != resp.GetRevision() {
+		v.needFull = true
+		return nil, fault.Newf(fault.KindInvalidMessage, "the whole configuration is requested",
+			"the changes lead to revision %d, not %d", revision, resp.GetRevision()).At("changes")
+	}
+	if revision > cfg.Revision {
+		next = cfg.Apply(revision, ops)
+	}
+	return next, nil
+}
+
+// asOf returns a time at which the answer was true, on this host's clock. The
+// source answered no earlier than held_ms after the request was sent, with a
+// view that was age_ms old. A source cannot have held the request for longer
+// than the exchange took.
+func asOf(resp *apiv1.SyncResponse, sent, received time.Time) time.Time {
+	held := min(time.Duration(resp.GetHeldMs())*time.Millisecond, received.Sub(sent))
+	return sent.Add(held).Add(-time.Duration(resp.GetAgeMs()) * time.Millisecond)
+}
+
+func (v *View) store(next *config.Snapshot, resp *apiv1.SyncResponse, at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if at.After(v.asOf) {
+		v.asOf = at
+	}
+	if next == v.config {
+		return
+	}
+	if resp.GetFull() != nil {
+		v.changes = relayed{}
+	} else {
+		v.changes.add(resp.GetChanges(), v.config.Revision)
+	}
+	v.config = next
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
