--- /dev/null
+++ b/internal/peer/errors.go
@@ -0,0 +1,182 @@
+package peer
+
+import (
+	"context"
+	"encoding/base64"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+)
+
+// Metadata of an error that carries a fault.Error. Texts are base64, because
+// metadata values are limited to ASCII.
+const (
+	metaKind       = "Jasmine-Error-Kind"
+	metaField      = "Jasmine-Error-Field-Bin"
+	metaRemedy     = "Jasmine-Error-Remedy-Bin"
+	metaRun        = "Jasmine-Error-Run"
+	metaRetryAfter = "Jasmine-Error-Retry-After-Ms"
+	// maxMetaBytes bounds each text, so that an error always fits the headers.
+	maxMetaBytes = 2048
+	// maxMessageBytes bounds the message.
+	maxErrorBytes = 16 << 10
+)
+
+// codes holds the connect code of each kind; the others are internal errors.
+var codes = map[fault.Kind]connect.Code{
+	fault.KindInvalidRequest:      connect.CodeInvalidArgument,
+	fault.KindInvalidManifest:     connect.CodeInvalidArgument,
+	fault.KindInvalidMessage:      connect.CodeInvalidArgument,
+	fault.KindRequestTooLarge:     connect.CodeResourceExhausted,
+	fault.KindRateLimited:         connect.CodeResourceExhausted,
+	fault.KindOverloaded:          connect.CodeResourceExhausted,
+	fault.KindRecordsFull:         connect.CodeResourceExhausted,
+	fault.KindUnauthorized:        connect.CodeUnauthenticated,
+	fault.KindUntrustedPeer:       connect.CodeUnauthenticated,
+	fault.KindForbidden:           connect.CodePermissionDenied,
+	fault.KindWrongCluster:        connect.CodePermissionDenied,
+	fault.KindChangeConflict:      connect.CodeAborted,
+	fault.KindIdempotencyConflict: connect.CodeAborted,
+	fault.KindNotLeader:           connect.CodeFailedPrecondition,
+	fault.KindMembership:          connect.CodeFailedPrecondition,
+	fault.KindStaleOrder:          connect.CodeFailedPrecondition,
+	fault.KindUnavailable:         connect.CodeUnavailable,
+	fault.KindDraining:            connect.CodeUnavailable,
+	fault.KindStaleView:           connect.CodeUnavailable,
+	fault.KindDeadline:            connect.CodeDeadlineExceeded,
+	fault.KindOutcomeUnknown:      connect.CodeUnknown,
+}
+
+// ToConnect returns the connect error that carries a fault.Error. Other errors
+// are returned as they are.
+func ToConnect(err error) error {
+	e, ok := fault.As(err)
+	if !ok {
+		return err
+	}
+	code, ok := codes[e.Kind]
+	if !ok {
+		code = connect.CodeInternal
+	}
+	text := e.Message
+	if cause := e.Unwrap(); cause != nil {
+		text += ": " + cause.Error()
+	}
+	out := connect.NewError(code, errors.Newf("%s", clip(text, maxErrorBytes)))
+	setMeta(out.Meta(), e)
+	return out
+}
+
+func setMeta(h http.Header, e *fault.Error) {
+	h.Set(metaKind, string(e.Kind))
+	for name, text := range map[string]string{metaField: e.Field, metaRemedy: e.Remedy} {
+		if text != "" {
+			h.Set(name, base64.RawStdEncoding.EncodeToString([]byte(clip(text, maxMetaBytes))))
+		}
+	}
+	if e.Run != "" {
+		h.Set(metaRun, string(e.Run))
+	}
+	if e.RetryAfter > 0 {
+		h.Set(metaRetryAfter, strconv.FormatInt(e.RetryAfter.Milliseconds(), 10))
+	}
+}
+
+func clip(text string, most int) string {
+	if len(text) <= most {
+		return text
+	}
+	return text[:most]
+}
+
+// FromConnect returns the fault.Error that a connect error carries. An error
+// without one gets a kind by its code; nil stays nil.
+func FromConnect(err error) error {
+	var ce *connect.Error
+	if err == nil || !errors.As(err, &ce) {
+		return err
+	}
+	h := ce.Meta()
+	kind := fault.Kind(h.Get(metaKind))
+	if kind == "" {
+		if e, ok := fault.As(err); ok {
+			// This process failed before it sent the request.
+			return e
+		}
+		return fromCode(err, ce)
+	}
+	e := fault.New(kind, ce.Message(), textOf(h, metaRemedy)).At(textOf(h, metaField))
+	e.Run = fault.Run(h.Get(metaRun))
+	if ms, err := strconv.ParseInt(h.Get(metaRetryAfter), 10, 64); err == nil && ms > 0 {
+		e.RetryAfter = time.Duration(min(ms, time.Hour.Milliseconds())) * time.Millisecond
+	}
+	return e
+}
+
+func textOf(h http.Header, name string) string {
+	text, err := base64.RawStdEncoding.DecodeString(h.Get(name))
+	if err != nil {
+		return ""
+	}
+	return string(text)
+}
+
+// fromCode classifies failures of the connection and of the protocol.
+func fromCode(err error, ce *connect.Error) error {
+	const remedy = "check that the other process runs and can be reached"
+	var refused *net.OpError
+	switch {
+	case errors.Is(err, context.Canceled):
+		return err
+	case errors.As(err, &refused) && refused.Op == "remote error":
+		// With TLS 1.3 a server refuses the client's certificate after the handshake.
+		return fault.Wrap(err, fault.KindUntrustedPeer, "the other process refused this one's certificate", trustRemedy)
+	case ce.Code() == connect.CodeDeadlineExceeded:
+		return fault.Wrap(err, fault.KindDeadline, "the other process did not answer in time", remedy)
+	case ce.Code() == connect.CodeUnavailable:
+		return fault.Wrap(err, fault.KindUnavailable, "the other process cannot be reached", remedy)
+	case ce.Code() == connect.CodeResourceExhausted:
+		return fault.Wrap(err, fault.KindRequestTooLarge, "a message exceeds the bound", "send less at once")
+	case ce.Code() == connect.CodeUnauthenticated:
+		return fault.Wrap(err, fault.KindUntrustedPeer, "the other process does not accept this one", trustRemedy)
+	}
+	return fault.Wrap(err, fault.KindInternal, "the call to another process failed", "see the cause")
+}
+
+// authenticatedKey marks the context of a request that Handler has accepted.
+type authenticatedKey struct{}
+
+// handlerInterceptor converts errors of handlers and refuses requests that did
+// not pass Handler, for example on a server that was built without it.
+func handlerInterceptor() connect.UnaryInterceptorFunc {
+	return func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			if ctx.Value(authenticatedKey{}) == nil {
+				return nil, ToConnect(fault.New(fault.KindUntrustedPeer, "the request was not authenticated", "serve the handler through peer.Server"))
+			}
+			resp, err := next(ctx, req)
+			if err != nil {
+				return nil, ToConnect(err)
+			}
+			return resp, nil
+		}
+	}
+}
+
+func clientInterceptor() connect.UnaryInterceptorFunc {
+	return func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			resp, err := next(ctx, req)
+			if err != nil {
+				return nil, FromConnect(err)
+			}
+			return resp, nil
+		}
+	}
+}
