Test a whole session of the programs as a golden file

Cause: only in-process tests ran the whole path. The session starts three control hosts, two entry hosts, two stand-in engines and a service as processes, and checks what operators, callers and backend servers see from the first manifest to a drained host. What the programs run moves to internal/commands, so that the session runs the same code as they do.

--- a/cmd/jasminectl/main.go
+++ b/cmd/jasminectl/main.go
@@ -2,15 +2,8 @@
 package main
 
 import (
-	"context"
-	"os"
-
-	"github.com/jasminesaddle/jasminesaddle/internal/operator"
+	"github.com/jasminesaddle/jasminesaddle/internal/commands"
 	"github.com/jasminesaddle/jasminesaddle/internal/program"
 )
 
-func main() {
-	program.Main(func(ctx context.Context, args []string) error {
-		return operator.Run(ctx, args, operator.Streams{Out: os.Stdout, Err: os.Stderr})
-	})
-}
+func main() { program.Main(commands.Operator) }
--- /dev/null
+++ b/internal/session/session_test.go
@@ -0,0 +1,129 @@
+// Package session runs whole sessions of the real programs as golden files.
+// Each script starts the processes it needs, brings a failure about and checks
+// what callers, operators and backend servers saw.
+package session
+
+import (
+	"flag"
+	"net"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/commands"
+	"github.com/jasminesaddle/jasminesaddle/internal/manifest"
+	"github.com/jasminesaddle/jasminesaddle/internal/program"
+)
+
+// update rewrites the golden parts of the scripts.
+var update = flag.Bool("update", false, "rewrite golden files")
+
+// eventuallyBound bounds a wait on a condition. It is generous, since the
+// machine may be busy, and says nothing about speed.
+const eventuallyBound = 60 * time.Second
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"jasmine-control": func() { program.Main(commands.Control) },
+		"jasmine-entry":   func() { program.Main(commands.Entry) },
+		"jasminectl":      func() { program.Main(commands.Operator) },
+		"standin-engine":  func() { program.Main(commands.StandinEngine) },
+		"standin-service": func() { program.Main(commands.StandinService) },
+		"call":            func() { program.Main(call) },
+	})
+}
+
+func TestSessions(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:           "testdata",
+		UpdateScripts: *update,
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"ports":      ports,
+			"expand":     expand,
+			"eventually": eventually,
+			"normalize":  normalize,
+		},
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("JASMINE_CLUSTER", "golden")
+			env.Setenv("HASH_NORTH", manifest.HashText("jsk_north_0123456789abcdef"))
+			env.Setenv("HASH_SOUTH", manifest.HashText("jsk_south_0123456789abcdef"))
+			env.Setenv("JASMINE_SECRET_FILE", env.WorkDir+"/secret")
+			return os.WriteFile(env.WorkDir+"/secret", []byte("golden-session-secret-0123"), 0o600)
+		},
+	})
+}
+
+// ports sets each named variable to a loopback address with a free port.
+func ports(ts *testscript.TestScript, neg bool, args []string) {
+	var open []net.Listener
+	for _, name := range args {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		open = append(open, l)
+		ts.Setenv(name, l.Addr().String())
+	}
+	// All are closed after the last is open, so that no port is given out twice.
+	for _, l := range open {
+		ts.Check(l.Close())
+	}
+}
+
+// expand replaces the variables in files.
+func expand(ts *testscript.TestScript, neg bool, args []string) {
+	for _, name := range args {
+		text := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o600))
+	}
+}
+
+// eventually runs a command until its output matches the first argument.
+func eventually(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: eventually REGEXP COMMAND...")
+	}
+	want := regexp.MustCompile(args[0])
+	deadline := time.Now().Add(eventuallyBound)
+	for {
+		err := ts.Exec(args[1], args[2:]...)
+		out := ts.ReadFile("stdout") + ts.ReadFile("stderr")
+		if want.MatchString(out) {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("no output of %s matched %q within %s: %v\n%s", strings.Join(args[1:], " "), args[0], eventuallyBound, err, out)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// normalizers replace what differs from run to run. The order of lines stays.
+var normalizers = []struct {
+	pattern *regexp.Regexp
+	with    string
+}{
+	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDR"},
+	{regexp.MustCompile(`e\d-[0-9a-z]+-[0-9a-z]+`), "REQUEST"},
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+Z`), "TIME"},
+	{regexp.MustCompile(`heard=\d+ms`), "heard=MS"},
+	{regexp.MustCompile(`disk=[0-9a-f]+`), "disk=ID"},
+	{regexp.MustCompile(`(term|commit|match)( |=)\d+`), "$1${2}N"},
+	{regexp.MustCompile(`(level|lent|spent)=\d+`), "$1=N"},
+	{regexp.MustCompile(`\b[0-9a-f]{12}\b`), "DIGEST"},
+	{regexp.MustCompile(`leader [a-z]\d\b`), "leader HOST"},
+	{regexp.MustCompile(`leader=(true|false)`), "leader=B"},
+	{regexp.MustCompile(`within \d+(\.\d+)?s`), "within S"},
+}
+
+// normalize writes a file, or the standard output of the last command, with
+// what differs from run to run replaced, to the second argument.
+func normalize(ts *testscript.TestScript, neg bool, args []string) {
+	text := ts.ReadFile(args[0])
+	for _, n := range normalizers {
+		text = n.pattern.ReplaceAllString(text, n.with)
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(text), 0o600))
+}
