Check agreement by a model and prove runs by their history

Cause: a boot counter alone lets an old copy of a data folder in when the copy was made during the run that the peers know, or when the copy was started often enough to pass the counter. Agreement had no test under faults.

Change: each run has a random nonce, the data folder records its last 64 runs with their last save number, and a peer takes a new run only when its record holds the run that the peer has seen, with at least as many saves. The model test drives the real node over simulated disks, clocks (10% drift each way) and network with crashes at each save, lost, doubled, delayed and reordered messages, one-way cuts, membership changes, emptied and restored disks.

--- a/internal/consensus/runs.go
+++ b/internal/consensus/runs.go
@@ -1,9 +1,9 @@
 package consensus
 
-// Run is one run of a process on a data folder, as a peer has seen it.
+// Run is one run of a process on a data folder.
 type Run struct {
 	Boot, Nonce uint64
-	// Saves is the highest save number seen from the data folder.
+	// Saves is the number of its last save, as far as it is known.
 	Saves uint64
 }
 
@@ -16,40 +16,45 @@
 	KnownRun Verdict = iota
 	// NewRun must be saved before the message is handled.
 	NewRun
-	// OldRun is an earlier run or a run on an older copy of the data folder.
-	// Its messages are dropped.
+	// OldRun is an earlier run, a run on an older copy of the data folder, or one
+	// that has not yet shown its earlier runs. Its messages are dropped.
 	OldRun
 )
 
-// Runs holds the newest run seen from each disk identity. A data folder that
-// was restored from a copy has a boot counter or a save number that was seen
-// from another run before.
+// Runs holds the newest run seen from each disk identity.
 type Runs map[string]Run
 
-// Check looks at the run that a message claims and remembers it when it is not
-// old.
-func (r Runs) Check(disk string, run Run, savesAtOpen uint64) Verdict {
+// Check looks at the run that a message claims, with the earlier runs that the
+// data folder has recorded, and remembers it when it is the newest.
+func (r Runs) Check(disk string, run Run, earlier []Run) Verdict {
 	seen, ok := r[disk]
-	switch {
-	case ok && run.Boot == seen.Boot && run.Nonce == seen.Nonce:
+	if ok && run.Nonce == seen.Nonce && run.Boot == seen.Boot {
 		seen.Saves = max(seen.Saves, run.Saves)
 		r[disk] = seen
 		return KnownRun
-	case ok && (run.Boot <= seen.Boot || savesAtOpen <= seen.Saves):
+	}
+	if ok && !Continues(run, earlier, seen) {
 		return OldRun
 	}
 	r[disk] = run
 	return NewRun
 }
 
-// RolledBack tells whether what a peer has seen of this disk shows that the own
-// run was started on an older copy.
-func RolledBack(own, seen Run) bool {
-	if seen.Boot == 0 {
-		return false
+// Continues tells whether a run holds all that a peer has seen of the data
+// folder: the run that the peer has seen is one of its earlier runs and ended
+// with at least as many saves. Boot counters alone would let a copy through that
+// was made during the run that the peer has seen, or that was started often
+// enough.
+func Continues(run Run, earlier []Run, seen Run) bool {
+	if run.Nonce == seen.Nonce {
+		return seen.Saves <= run.Saves
 	}
-	if seen.Boot == own.Boot && seen.Nonce != own.Nonce {
-		return true
+	for _, e := range earlier {
+		if e.Nonce == seen.Nonce {
+			return seen.Saves <= e.Saves
+		}
 	}
-	return seen.Boot > own.Boot || seen.Saves > own.Saves
+	// A peer that was away for longer than the record reaches back cannot tell
+	// more than that the boot counter has grown.
+	return len(earlier) > 0 && seen.Boot < earlier[0].Boot
 }
--- /dev/null
+++ b/internal/consensus/world_test.go
@@ -0,0 +1,467 @@
+package consensus
+
+import (
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+)
+
+const (
+	worldStep       = 50 * time.Millisecond
+	electionTimeout = time.Second
+	helloSteps      = 20
+	// maxDrift makes the fastest and the slowest clock 1.22 apart, within the
+	// 1.25 that LeaseFraction allows.
+	maxDrift = 0.1
+)
+
+// crashPoint is a place in the driver's loop where a host may stop.
+type crashPoint int
+
+const (
+	noCrash crashPoint = iota
+	beforeSave
+	afterSave
+	afterSend
+	afterApply
+	beforeCompactSave
+	crashPoints
+)
+
+// disk is what survives a crash.
+type disk struct {
+	id    string
+	saves uint64
+	// own holds all runs on this disk, the newest last.
+	own   []Run
+	saved Saved
+	runs  Runs
+}
+
+func (d *disk) clone() *disk {
+	c := *d
+	c.saved.Entries = slices.Clone(d.saved.Entries)
+	c.own = slices.Clone(d.own)
+	c.runs = maps.Clone(d.runs)
+	return &c
+}
+
+func (d *disk) save(rd Ready, runs Runs) {
+	d.saves++
+	if rd.HardState != nil {
+		d.saved.HardState = *rd.HardState
+	}
+	if rd.Snapshot != nil {
+		d.saved.Snapshot, d.saved.Entries = rd.Snapshot, nil
+	}
+	if len(rd.Entries) > 0 {
+		first := rd.Entries[0].GetIndex()
+		d.saved.Entries = slices.DeleteFunc(slices.Clone(d.saved.Entries), func(e *apiv1.LogEntry) bool { return e.GetIndex() >= first })
+		d.saved.Entries = append(d.saved.Entries, rd.Entries...)
+	}
+	d.runs = maps.Clone(runs)
+}
+
+// simHost is a host with its disk; node is nil while it is down.
+type simHost struct {
+	name    string
+	rate    float64
+	disk    *disk
+	node    *Node
+	run     Run
+	earlier []Run
+	runs    Runs
+	applied uint64
+	chain   uint64
+	crash   crashPoint
+	// refused is true for a host on a restored disk.
+	refused bool
+}
+
+type packet struct {
+	at       time.Duration
+	from, to string
+	disk     string
+	run      Run
+	earlier  []Run
+	// message is nil in a hello, which carries the earlier runs.
+	message *apiv1.LogMessage
+}
+
+type committed struct{ term, chain uint64 }
+
+// world simulates hosts, disks, clocks and the network, and checks the
+// invariants after each step.
+type world struct {
+	fail  func(format string, args ...any)
+	rng   *rand.Rand
+	now   time.Duration
+	steps int
+	hosts []*simHost
+	// cut holds the directed links that lose everything.
+	cut        map[[2]string]bool
+	loss, dup  float64
+	maxDelay   time.Duration
+	queue      []packet
+	leaders    map[uint64]string
+	log        map[uint64]committed
+	leaseUntil map[uint64]time.Duration
+	disks      int
+	proposed   int
+}
+
+func newWorld(seed uint64, count int, fail func(string, ...any)) *world {
+	w := &world{
+		fail: fail, rng: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]string]bool{}, maxDelay: worldStep,
+		leaders: map[uint64]string{}, log: map[uint64]committed{1: {term: 1}}, leaseUntil: map[uint64]time.Duration{},
+	}
+	set := &apiv1.MemberSet{}
+	for range count {
+		h := w.addHost()
+		set.Members = append(set.Members, &apiv1.Member{Host: h.name, Address: h.name, DiskId: h.disk.id, Voter: true})
+	}
+	for _, h := range w.hosts {
+		h.disk.saved = Saved{HardState: HardState{Term: 1}, Snapshot: &Snapshot{Index: 1, Term: 1, Members: set, Data: make([]byte, 8)}}
+		w.start(h)
+	}
+	return w
+}
+
+func (w *world) newDisk() *disk {
+	w.disks++
+	return &disk{id: fmt.Sprintf("d%d", w.disks), runs: Runs{}}
+}
+
+func (w *world) addHost() *simHost {
+	h := &simHost{name: fmt.Sprintf("h%d", len(w.hosts)), rate: 1 + maxDrift*(2*w.rng.Float64()-1), disk: w.newDisk()}
+	w.hosts = append(w.hosts, h)
+	return h
+}
+
+func (w *world) clock(h *simHost) time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(float64(w.now) * h.rate))
+}
+
+func (w *world) start(h *simHost) {
+	h.run = Run{Boot: 1, Nonce: w.rng.Uint64()}
+	if k := len(h.disk.own); k > 0 {
+		h.disk.own[k-1].Saves = h.disk.saves
+		h.run.Boot = h.disk.own[k-1].Boot + 1
+	}
+	h.earlier = slices.Clone(h.disk.own)
+	h.disk.own = append(h.disk.own, h.run)
+	h.disk.saves++
+	h.runs = maps.Clone(h.disk.runs)
+	cfg := Config{ID: h.disk.id, ElectionTimeout: electionTimeout, HeartbeatInterval: 200 * time.Millisecond,
+		MaxMessageBytes: 100, MaxInFlight: 16, PromoteLag: 5, Seed: w.rng.Uint64()}
+	// The node gets its own copy, as a real restart reads the disk.
+	node, err := New(cfg, h.disk.clone().saved, w.clock(h))
+	if err != nil {
+		w.fail("%s cannot start: %v", h.name, err)
+	}
+	h.node, h.crash = node, noCrash
+	h.applied, h.chain = 0, 0
+	if s := h.disk.saved.Snapshot; s != nil {
+		w.restore(h, s)
+	}
+	w.hello(h)
+}
+
+func (w *world) restore(h *simHost, s *Snapshot) {
+	h.applied, h.chain = s.Index, binary.BigEndian.Uint64(s.Data)
+	if c, ok := w.log[s.Index]; !ok || c.chain != h.chain {
+		w.fail("%s restored a snapshot at %d that differs from the committed state", h.name, s.Index)
+	}
+}
+
+// step lets one step of time pass on all hosts.
+func (w *world) step() {
+	w.now += worldStep
+	w.steps++
+	w.deliver()
+	for _, h := range w.hosts {
+		if h.node == nil {
+			continue
+		}
+		h.node.Tick(w.clock(h))
+		w.process(h)
+		if h.node != nil && w.steps%helloSteps == 0 {
+			w.hello(h)
+		}
+	}
+	w.checkLeases()
+}
+
+func (w *world) run(d time.Duration) {
+	for range int(d / worldStep) {
+		w.step()
+	}
+}
+
+// hello tells all hosts this one's run, as the driver does.
+func (w *world) hello(h *simHost) {
+	for _, other := range w.hosts {
+		if other != h {
+			w.post(h, other.disk.id, nil)
+		}
+	}
+}
+
+func (w *world) post(h *simHost, to string, m *apiv1.LogMessage) {
+	i := slices.IndexFunc(w.hosts, func(o *simHost) bool { return o.disk.id == to })
+	if i < 0 {
+		return
+	}
+	p := packet{from: h.name, to: w.hosts[i].name, disk: h.disk.id, run: h.run, message: m}
+	if m == nil {
+		p.earlier = h.earlier
+	}
+	p.run.Saves = h.disk.saves
+	for range 2 {
+		if w.rng.Float64() >= w.loss {
+			p.at = w.now + time.Duration(w.rng.Int64N(int64(w.maxDelay)+1))
+			w.queue = append(w.queue, p)
+		}
+		if w.rng.Float64() >= w.dup {
+			return
+		}
+	}
+}
+
+// deliver hands over due packets in an order of its own.
+func (w *world) deliver() {
+	var due, rest []packet
+	for _, p := range w.queue {
+		if p.at <= w.now {
+			due = append(due, p)
+		} else {
+			rest = append(rest, p)
+		}
+	}
+	w.queue = rest
+	w.rng.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	for _, p := range due {
+		h := w.host(p.to)
+		if h.node == nil || w.cut[[2]string{p.from, p.to}] {
+			continue
+		}
+		w.receive(h, p)
+	}
+}
+
+func (w *world) receive(h *simHost, p packet) {
+	switch h.runs.Check(p.disk, p.run, p.earlier) {
+	case OldRun:
+		return
+	case NewRun:
+		h.disk.save(Ready{}, h.runs)
+	}
+	if p.message != nil {
+		h.node.Step(w.clock(h), proto.Clone(p.message).(*apiv1.LogMessage))
+		w.process(h)
+	}
+}
+
+func (w *world) host(name string) *simHost {
+	return w.hosts[slices.IndexFunc(w.hosts, func(o *simHost) bool { return o.name == name })]
+}
+
+// process is the driver's loop with its crash points.
+func (w *world) process(h *simHost) {
+	h.node.Flush()
+	for h.node.HasReady() {
+		rd := h.node.Ready()
+		w.sendAll(h, rd.Early)
+		if w.crashed(h, beforeSave) {
+			return
+		}
+		if rd.HardState != nil || rd.Snapshot != nil || len(rd.Entries) > 0 {
+			h.disk.save(rd, h.runs)
+		}
+		if w.crashed(h, afterSave) {
+			return
+		}
+		w.sendAll(h, rd.Messages)
+		if w.crashed(h, afterSend) {
+			return
+		}
+		if rd.Snapshot != nil {
+			w.restore(h, rd.Snapshot)
+		}
+		for _, e := range rd.Committed {
+			w.apply(h, e)
+		}
+		if w.crashed(h, afterApply) {
+			return
+		}
+		h.node.Advance(rd)
+	}
+	w.checkLeader(h)
+}
+
+func (w *world) sendAll(h *simHost, messages []*apiv1.LogMessage) {
+	for _, m := range messages {
+		w.post(h, m.GetTo(), m)
+	}
+}
+
+func (w *world) crashed(h *simHost, at crashPoint) bool {
+	if h.crash == at {
+		h.node, h.crash = nil, noCrash
+		return true
+	}
+	return false
+}
+
+// apply checks that each host applies the same entries in the same order.
+func (w *world) apply(h *simHost, e *apiv1.LogEntry) {
+	if e.GetIndex() != h.applied+1 {
+		w.fail("%s applied %d after %d", h.name, e.GetIndex(), h.applied)
+	}
+	var word [8]byte
+	binary.BigEndian.PutUint64(word[:], h.chain)
+	h.chain = xxhash.Sum64(append(word[:], e.GetData()...))
+	h.applied = e.GetIndex()
+	got := committed{term: e.GetTerm(), chain: h.chain}
+	if c, ok := w.log[h.applied]; ok && c != got {
+		w.fail("%s applied at %d an entry of term %d, another host one of term %d", h.name, h.applied, got.term, c.term)
+	}
+	w.log[h.applied] = got
+}
+
+// checkLeader checks that a term has one leader and that its log holds all that
+// was ever committed.
+func (w *world) checkLeader(h *simHost) {
+	if h.node.role != Leader {
+		return
+	}
+	if other, ok := w.leaders[h.node.term]; ok {
+		if other != h.disk.id {
+			w.fail("term %d has leaders %s and %s", h.node.term, other, h.disk.id)
+		}
+		return
+	}
+	w.leaders[h.node.term] = h.disk.id
+	for index, c := range w.log {
+		if c.term >= h.node.term {
+			continue
+		}
+		if t, ok := h.node.log.term(index); index > h.node.log.offset && (!ok || t != c.term) {
+			w.fail("the leader of term %d lacks the committed entry %d of term %d", h.node.term, index, c.term)
+		}
+	}
+}
+
+// checkLeases checks that a lease begins only after all leases that were given
+// out in earlier terms have ended, by the clocks of those who hold them.
+func (w *world) checkLeases() {
+	for _, h := range w.hosts {
+		if h.node == nil {
+			continue
+		}
+		left := h.node.Lease().Sub(w.clock(h))
+		if left <= 0 {
+			continue
+		}
+		until := w.now + time.Duration(float64(left)/h.rate)
+		w.leaseUntil[h.node.term] = max(w.leaseUntil[h.node.term], until)
+		for term, other := range w.leaseUntil {
+			if term < h.node.term && other > w.now {
+				w.fail("term %d holds a lease while that of term %d lasts %v more", h.node.term, term, other-w.now)
+			}
+			if term > h.node.term {
+				w.fail("term %d holds a lease after term %d had one", h.node.term, term)
+			}
+		}
+	}
+}
+
+func (w *world) leader() *simHost {
+	var best *simHost
+	for _, h := range w.hosts {
+		if h.node != nil && h.node.role == Leader && (best == nil || h.node.term > best.node.term) {
+			best = h
+		}
+	}
+	return best
+}
+
+// propose appends one command on the host, which may lead or not.
+func (w *world) propose(h *simHost) bool {
+	w.proposed++
+	_, err := h.node.Propose(fmt.Appendf(nil, "command %d", w.proposed))
+	return err == nil
+}
+
+func (w *world) compact(h *simHost) {
+	crash := h.crash == beforeCompactSave
+	var data [8]byte
+	binary.BigEndian.PutUint64(data[:], h.chain)
+	s, keep := h.node.Compact(h.applied, data[:], 5)
+	if crash {
+		w.crashed(h, beforeCompactSave)
+		return
+	}
+	if s == nil {
+		return
+	}
+	h.disk.saves++
+	h.disk.saved.Snapshot = s
+	h.disk.saved.Entries = slices.DeleteFunc(slices.Clone(h.disk.saved.Entries), func(e *apiv1.LogEntry) bool { return e.GetIndex() < keep })
+}
+
+// heal ends all faults of the network and restarts all hosts.
+func (w *world) heal() {
+	clear(w.cut)
+	w.loss, w.dup, w.maxDelay = 0, 0, worldStep
+	for _, h := range w.hosts {
+		h.crash = noCrash
+		if h.node == nil {
+			w.start(h)
+		}
+	}
+}
+
+// settle runs until a new command is applied on all members of the latest set,
+// for at most 60 s.
+func (w *world) settle() {
+	for range 60 {
+		w.run(time.Second)
+		l := w.leader()
+		if l == nil || !w.propose(l) {
+			continue
+		}
+		w.run(2 * time.Second)
+		done := true
+		for _, m := range l.node.Members().GetMembers() {
+			i := slices.IndexFunc(w.hosts, func(h *simHost) bool { return h.disk.id == m.GetDiskId() && !h.refused })
+			// A member without a disk is no longer there.
+			done = done && (i < 0 || w.hosts[i].node != nil && w.hosts[i].applied+3 >= l.applied)
+		}
+		if done && l.node != nil && l.applied == l.node.log.last() {
+			return
+		}
+	}
+	w.fail("no progress within 60 s of the end of all faults: %s", w.describe())
+}
+
+func (w *world) describe() string {
+	text := ""
+	for _, h := range w.hosts {
+		if h.node == nil {
+			text += h.name + " down; "
+			continue
+		}
+		s := h.node.Status()
+		text += fmt.Sprintf("%s %s %v term %d last %d commit %d members %v; ", h.name, h.disk.id, s.Role, s.Term, s.Last, s.Commit, voters(h.node.Members()))
+	}
+	return text
+}
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -58,15 +58,32 @@
 }
 
 func (r *Replica) hello(to string) *apiv1.StepRequest {
-	seen := r.runs[to]
 	req := r.request()
 	req.Hello = &apiv1.Hello{
-		Sender: r.self, First: r.boot.first, Started: r.node != nil && r.boot.first != nil,
-		SeenBoot: seen.Boot, SeenBootNonce: seen.Nonce, SeenSaves: seen.Saves,
+		Sender: r.self, Earlier: r.earlier, First: r.boot.first, Started: r.node != nil && r.boot.first != nil,
+	}
+	if seen, ok := r.runs[to]; ok {
+		req.Hello.Seen = encodeRun(seen)
 	}
 	return req
 }
 
+func encodeRun(run consensus.Run) *apiv1.EarlierRun {
+	return &apiv1.EarlierRun{Boot: run.Boot, BootNonce: run.Nonce, Saves: run.Saves}
+}
+
+func decodeRun(run *apiv1.EarlierRun) consensus.Run {
+	return consensus.Run{Boot: run.GetBoot(), Nonce: run.GetBootNonce(), Saves: run.GetSaves()}
+}
+
+func earlierRuns(h *apiv1.Hello) []consensus.Run {
+	var runs []consensus.Run
+	for _, run := range h.GetEarlier() {
+		runs = append(runs, decodeRun(run))
+	}
+	return runs
+}
+
 // targets returns the members and the bootstrap hosts, by address and without
 // this host.
 func (r *Replica) targets() []*apiv1.Member {
@@ -109,7 +126,7 @@
 func (r *Replica) refuseOldRun(req *apiv1.StepRequest) {
 	disk := req.GetFromDiskId()
 	r.opts.Logger.Warn().Str("peer_disk_id", disk).Uint64("boot", req.GetBoot()).
-		Uint64("seen_boot", r.runs[disk].Boot).Msg("message from an older run or an older copy of a data folder dropped")
+		Uint64("seen_boot", r.runs[disk].Boot).Msg("message dropped: its run does not continue the newest run seen from that data folder")
 	to := req.GetHello().GetSender()
 	if to == nil {
 		to = r.memberOf(disk)
@@ -124,8 +141,7 @@
 		return nil
 	}
 	own := consensus.Run{Boot: r.id.Boot, Nonce: r.id.Nonce, Saves: r.opts.Store.Saves()}
-	seen := consensus.Run{Boot: h.GetSeenBoot(), Nonce: h.GetSeenBootNonce(), Saves: h.GetSeenSaves()}
-	if consensus.RolledBack(own, seen) {
+	if seen := decodeRun(h.GetSeen()); h.GetSeen() != nil && !consensus.Continues(own, r.id.Earlier, seen) {
 		return fault.Newf(fault.KindStorageRolledBack,
 			"replace this member: start it with an empty data folder, add it again and remove this disk identity",
 			"the data folder is an older copy: %s has seen boot %d and save %d of it, and it has boot %d and save %d",
--- a/internal/replica/process.go
+++ b/internal/replica/process.go
@@ -16,7 +16,7 @@
 func (r *Replica) receive(req *apiv1.StepRequest) error {
 	disk := req.GetFromDiskId()
 	run := consensus.Run{Boot: req.GetBoot(), Nonce: req.GetBootNonce(), Saves: req.GetSaves()}
-	switch r.runs.Check(disk, run, req.GetSavesAtOpen()) {
+	switch r.runs.Check(disk, run, earlierRuns(req.GetHello())) {
 	case consensus.OldRun:
 		r.refuseOldRun(req)
 		return nil
@@ -145,7 +145,7 @@
 func (r *Replica) request() *apiv1.StepRequest {
 	return &apiv1.StepRequest{
 		Cluster: r.opts.Cluster, FromDiskId: r.id.DiskID, Boot: r.id.Boot, BootNonce: r.id.Nonce,
-		SavesAtOpen: r.id.SavesAtOpen, Saves: r.opts.Store.Saves(),
+		Saves: r.opts.Store.Saves(),
 	}
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -107,6 +107,8 @@
 	opts Options
 	self *apiv1.Member
 	id   storage.Identity
+	// earlier is the record of earlier runs as hellos carry it.
+	earlier []*apiv1.EarlierRun
 
 	inbox     chan *apiv1.StepRequest
 	proposals chan *proposal
@@ -148,6 +150,9 @@
 		waiting:   map[uint64]*proposal{},
 		newRuns:   map[string]consensus.Run{},
 	}
+	for _, run := range id.Earlier {
+		r.earlier = append(r.earlier, encodeRun(run))
+	}
 	r.opts.Logger = opts.Logger.With().Str("host", r.self.Host).Str("disk_id", id.DiskID).Logger()
 	return r, r.load()
 }
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -15,8 +15,8 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/consensus"
 )
 
-// Buckets and keys of the file. Values but the version, the disk identity and
-// the boot counter begin with the xxhash64 of their key and the rest.
+// Buckets and keys of the file. Values but the version and the disk identity
+// begin with the xxhash64 of their key and the rest.
 var (
 	metaBucket    = []byte("meta")
 	entriesBucket = []byte("entries")
@@ -24,7 +24,7 @@
 
 	keyVersion   = []byte("version")
 	keyDisk      = []byte("disk")
-	keyBoot      = []byte("boot")
+	keyRuns      = []byte("runs")
 	keyHardState = []byte("hard_state")
 	keySnapshot  = []byte("snapshot")
 	keyFirst     = []byte("first_members")
@@ -169,10 +169,51 @@
 	return nil
 }
 
+// runSize is the size of an encoded run.
+const runSize = 24
+
+func appendRun(b []byte, run consensus.Run) []byte {
+	b = binary.BigEndian.AppendUint64(b, run.Boot)
+	b = binary.BigEndian.AppendUint64(b, run.Nonce)
+	return binary.BigEndian.AppendUint64(b, run.Saves)
+}
+
+func decodeRun(b []byte) consensus.Run {
+	return consensus.Run{
+		Boot: binary.BigEndian.Uint64(b), Nonce: binary.BigEndian.Uint64(b[8:]), Saves: binary.BigEndian.Uint64(b[16:]),
+	}
+}
+
+func writeRuns(meta *bbolt.Bucket, runs []consensus.Run) error {
+	var value []byte
+	for _, run := range runs {
+		value = appendRun(value, run)
+	}
+	return meta.Put(keyRuns, seal(keyRuns, value))
+}
+
+func readRuns(meta *bbolt.Bucket) ([]consensus.Run, error) {
+	v := meta.Get(keyRuns)
+	if v == nil {
+		return nil, nil
+	}
+	value, err := unseal(keyRuns, v)
+	if err != nil {
+		return nil, err
+	}
+	if len(value)%runSize != 0 {
+		return nil, damaged(nil, "the record of runs has a wrong length")
+	}
+	var runs []consensus.Run
+	for ; len(value) > 0; value = value[runSize:] {
+		runs = append(runs, decodeRun(value))
+	}
+	return runs, nil
+}
+
 func writePeers(b *bbolt.Bucket, peers map[string]consensus.Run) error {
 	for _, disk := range slices.Sorted(maps.Keys(peers)) {
-		run := peers[disk]
-		value := append(append(number(run.Boot), number(run.Nonce)...), number(run.Saves)...)
+		value := appendRun(nil, peers[disk])
 		if err := b.Put([]byte(disk), seal([]byte(disk), value)); err != nil {
 			return err
 		}
@@ -191,13 +232,10 @@
 		if err != nil {
 			return err
 		}
-		if len(value) != 24 {
+		if len(value) != runSize {
 			return damaged(nil, fmt.Sprintf("the record of peer %q has a wrong length", k))
 		}
-		l.peers[string(k)] = consensus.Run{
-			Boot: binary.BigEndian.Uint64(value), Nonce: binary.BigEndian.Uint64(value[8:]),
-			Saves: binary.BigEndian.Uint64(value[16:]),
-		}
+		l.peers[string(k)] = decodeRun(value)
 		return nil
 	})
 	if err != nil {
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -30,6 +31,10 @@
 // FileName is the name of the file in the data folder.
 const FileName = "log.db"
 
+// maxEarlierRuns bounds the recorded runs. A peer that was away for longer than
+// this many restarts of a host can check no more than its boot counter.
+const maxEarlierRuns = 64
+
 // Options holds the settings of a store.
 type Options struct {
 	// MaxSize bounds the file in bytes; 0 means no bound.
@@ -47,8 +52,8 @@
 	// Nonce differs between two runs with the same boot counter, which an
 	// earlier copy of the data folder leads to.
 	Nonce uint64
-	// SavesAtOpen is the number of the save that counted this boot.
-	SavesAtOpen uint64
+	// Earlier holds the earlier runs, the oldest first.
+	Earlier []consensus.Run
 }
 
 // Update is what one save changes.
@@ -119,13 +124,12 @@
 	_, _ = rand.Read(nonce[:])
 	s.identity.Nonce = binary.BigEndian.Uint64(nonce[:])
 	err = s.db.Update(func(tx *bbolt.Tx) error {
-		s.identity.SavesAtOpen = uint64(tx.ID())
+		s.saves = uint64(tx.ID())
 		return countBoot(tx, &s.identity)
 	})
 	if err != nil {
 		return saveError(err)
 	}
-	s.saves = s.identity.SavesAtOpen
 	return s.db.View(func(tx *bbolt.Tx) error { return s.loaded.read(tx) })
 }
 
@@ -202,14 +206,18 @@
 		}
 	}
 	id.DiskID = string(meta.Get(keyDisk))
-	if boot := meta.Get(keyBoot); boot != nil {
-		if len(boot) != 8 {
-			return damaged(nil, "the boot counter is not a number")
-		}
-		id.Boot = binary.BigEndian.Uint64(boot)
+	runs, err := readRuns(meta)
+	if err != nil {
+		return err
+	}
+	id.Boot = 1
+	if k := len(runs); k > 0 {
+		id.Boot = runs[k-1].Boot + 1
+		runs[k-1].Saves = uint64(tx.ID()) - 1
+		runs = runs[max(0, k-maxEarlierRuns):]
 	}
-	id.Boot++
-	return meta.Put(keyBoot, number(id.Boot))
+	id.Earlier = runs
+	return writeRuns(meta, append(slices.Clone(runs), consensus.Run{Boot: id.Boot, Nonce: id.Nonce}))
 }
 
 func number(v uint64) []byte { return binary.BigEndian.AppendUint64(nil, v) }
