Check the whole data folder before it is used

Cause: a byte changed in a page header hid records whose checksums then went unchecked, a changed page number made bbolt read in a cycle until the memory was used up, and bbolt walks the file in a goroutine of its own when it opens it for writing, where its panic ends the process.

Change: Open first reads the file without writing, checks that its pages form a tree, that each record's checksum is right, and that a contents record names the same records as are there. Only then is the file opened for writing.

Conclusion: a damaged data folder is refused with its remedy.

--- /dev/null
+++ b/internal/storage/contents.go
@@ -0,0 +1,49 @@
+package storage
+
+import (
+	"bytes"
+	"encoding/binary"
+
+	"go.etcd.io/bbolt"
+)
+
+// The contents record says which other records exist. Damage to a page's header
+// can hide records whose checksums then go unchecked.
+func contents(tx *bbolt.Tx) []byte {
+	var b []byte
+	meta := tx.Bucket(metaBucket)
+	for _, key := range [][]byte{keyHardState, keySnapshot, keyFirst} {
+		if meta.Get(key) != nil {
+			b = append(b, 1)
+		} else {
+			b = append(b, 0)
+		}
+	}
+	peers := uint64(0)
+	c := tx.Bucket(peersBucket).Cursor()
+	for k, _ := c.First(); k != nil; k, _ = c.Next() {
+		peers++
+	}
+	b = binary.BigEndian.AppendUint64(b, peers)
+	entries := tx.Bucket(entriesBucket).Cursor()
+	first, _ := entries.First()
+	b = append(b, first...)
+	last, _ := entries.Last()
+	return append(b, last...)
+}
+
+func writeContents(tx *bbolt.Tx) error {
+	return tx.Bucket(metaBucket).Put(keyContents, seal(keyContents, contents(tx)))
+}
+
+// checkContents checks that no record is hidden.
+func checkContents(tx *bbolt.Tx) error {
+	want, err := unseal(keyContents, tx.Bucket(metaBucket).Get(keyContents))
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(want, contents(tx)) {
+		return damaged(nil, "records are missing")
+	}
+	return nil
+}
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -28,6 +28,7 @@
 	keyHardState = []byte("hard_state")
 	keySnapshot  = []byte("snapshot")
 	keyFirst     = []byte("first_members")
+	keyContents  = []byte("contents")
 )
 
 // loaded is what Open read.
@@ -98,7 +99,10 @@
 	if err := writeEntries(entries, u.Entries); err != nil {
 		return err
 	}
-	return writePeers(tx.Bucket(peersBucket), u.Peers)
+	if err := writePeers(tx.Bucket(peersBucket), u.Peers); err != nil {
+		return err
+	}
+	return writeContents(tx)
 }
 
 // The snapshot record is index, term, length of the member set, member set and
@@ -223,6 +227,16 @@
 
 func (l *loaded) read(tx *bbolt.Tx) error {
 	meta := tx.Bucket(metaBucket)
+	if meta == nil {
+		// The process stopped before the first save.
+		return nil
+	}
+	if tx.Bucket(entriesBucket) == nil || tx.Bucket(peersBucket) == nil {
+		return damaged(nil, "the entries or the peers are missing")
+	}
+	if _, err := readRuns(meta); err != nil {
+		return err
+	}
 	if err := l.readMeta(meta); err != nil {
 		return err
 	}
@@ -241,7 +255,7 @@
 	if err != nil {
 		return err
 	}
-	return tx.Bucket(entriesBucket).ForEach(func(k, v []byte) error {
+	err = tx.Bucket(entriesBucket).ForEach(func(k, v []byte) error {
 		value, err := unseal(k, v)
 		if err != nil {
 			return err
@@ -250,9 +264,16 @@
 		if err := proto.Unmarshal(value, e); err != nil {
 			return damaged(err, "an entry cannot be decoded")
 		}
+		if k := len(l.saved.Entries); k > 0 && e.GetIndex() != l.saved.Entries[k-1].GetIndex()+1 {
+			return damaged(nil, fmt.Sprintf("entry %d is missing", l.saved.Entries[k-1].GetIndex()+1))
+		}
 		l.saved.Entries = append(l.saved.Entries, e)
 		return nil
 	})
+	if err != nil {
+		return err
+	}
+	return checkContents(tx)
 }
 
 func (l *loaded) readMeta(meta *bbolt.Bucket) error {
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -105,32 +105,66 @@
 }
 
 func (s *Store) open(path string, opts Options) error {
-	if info, err := os.Stat(path); err == nil && info.Size() == 0 {
-		return damaged(nil, "the file is empty")
-	}
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{
-		Timeout: time.Second, NoSync: opts.NoSync, NoFreelistSync: true,
-		FreelistType: bbolt.FreelistMapType, MaxSize: opts.MaxSize,
-	})
+	last, err := s.check(path)
 	if err != nil {
-		return openError(err)
-	}
-	s.db = db
-	if err := s.db.View(func(tx *bbolt.Tx) error { return checkVersion(tx) }); err != nil {
 		return err
 	}
+	if s.db, err = bbolt.Open(path, 0o600, boltOptions(opts)); err != nil {
+		return openError(err)
+	}
 	var nonce [8]byte
 	// crypto/rand never fails.
 	_, _ = rand.Read(nonce[:])
 	s.identity.Nonce = binary.BigEndian.Uint64(nonce[:])
 	err = s.db.Update(func(tx *bbolt.Tx) error {
 		s.saves = uint64(tx.ID())
+		if last != 0 && s.saves != last+1 {
+			return fault.New(fault.KindUnavailable, "another process has written to the data folder",
+				"run one process on it").At("data_folder")
+		}
 		return countBoot(tx, &s.identity)
 	})
 	if err != nil {
 		return saveError(err)
 	}
-	return s.db.View(func(tx *bbolt.Tx) error { return s.loaded.read(tx) })
+	return nil
+}
+
+func boltOptions(opts Options) *bbolt.Options {
+	return &bbolt.Options{
+		Timeout: time.Second, NoSync: opts.NoSync, NoFreelistSync: true,
+		FreelistType: bbolt.FreelistMapType, MaxSize: opts.MaxSize,
+	}
+}
+
+// check reads and checks all records without writing, and returns the number of
+// the last save; 0 for a new file. It comes before the file is opened for
+// writing, because bbolt then walks the file in a goroutine of its own, where
+// the panic on a damaged page cannot be caught.
+func (s *Store) check(path string) (last uint64, err error) {
+	info, err := os.Stat(path)
+	if errors.Is(err, fs.ErrNotExist) || err == nil && info.Size() == 0 {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, ioError(err, "cannot read the data folder")
+	}
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: time.Second, ReadOnly: true})
+	if err != nil {
+		return 0, openError(err)
+	}
+	defer func() { _ = db.Close() }()
+	err = db.View(func(tx *bbolt.Tx) error {
+		last = uint64(tx.ID())
+		if err := checkPages(path, last); err != nil {
+			return err
+		}
+		if err := checkVersion(tx); err != nil {
+			return err
+		}
+		return s.loaded.read(tx)
+	})
+	return last, err
 }
 
 // guard turns a panic or a fault on the mapped file into an error: bbolt
@@ -217,7 +251,10 @@
 		runs = runs[max(0, k-maxEarlierRuns):]
 	}
 	id.Earlier = runs
-	return writeRuns(meta, append(slices.Clone(runs), consensus.Run{Boot: id.Boot, Nonce: id.Nonce}))
+	if err := writeRuns(meta, append(slices.Clone(runs), consensus.Run{Boot: id.Boot, Nonce: id.Nonce})); err != nil {
+		return err
+	}
+	return writeContents(tx)
 }
 
 func number(v uint64) []byte { return binary.BigEndian.AppendUint64(nil, v) }
@@ -237,8 +274,8 @@
 		return nil
 	}
 	v := meta.Get(keyVersion)
-	if len(v) != 8 {
-		return damaged(nil, "the format version is missing")
+	if len(v) != 8 || len(meta.Get(keyDisk)) == 0 {
+		return damaged(nil, "the format version or the disk identity is missing")
 	}
 	if got := binary.BigEndian.Uint64(v); got > FormatVersion {
 		return fault.Newf(fault.KindStorageVersion, "start the release that wrote it, or a newer one",
@@ -260,16 +297,17 @@
 }
 
 func openError(err error) error {
+	var errno syscall.Errno
 	switch {
-	case errors.Is(err, berrors.ErrInvalid), errors.Is(err, berrors.ErrChecksum):
-		return damaged(err, "the file's header is damaged")
+	case errors.Is(err, berrors.ErrTimeout):
+		return fault.Wrap(err, fault.KindUnavailable, "another process uses the data folder", "stop it first").At("data_folder")
 	case errors.Is(err, berrors.ErrVersionMismatch):
 		return fault.Wrap(err, fault.KindStorageVersion, "the file has another database version",
 			"start the release that wrote it").At("data_folder")
-	case errors.Is(err, berrors.ErrTimeout):
-		return fault.Wrap(err, fault.KindUnavailable, "another process uses the data folder", "stop it first").At("data_folder")
+	case errors.As(err, &errno):
+		return ioError(err, "cannot open the file")
 	}
-	return ioError(err, "cannot open the file")
+	return damaged(err, "the file's header is damaged")
 }
 
 // saveError names a full disk.
@@ -277,8 +315,10 @@
 	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, berrors.ErrMaxSizeReached) {
 		return fault.Wrap(err, fault.KindUnavailable, "the disk is full", "free space and restart this host").At("data_folder")
 	}
-	if errors.Is(err, fs.ErrPermission) {
-		return fault.Wrap(err, fault.KindUnavailable, "the file is not writable", "check its permissions").At("data_folder")
+	var errno syscall.Errno
+	if _, ok := fault.As(err); ok || errors.As(err, &errno) {
+		return ioError(err, "cannot save")
 	}
-	return ioError(err, "cannot save")
+	// What bbolt reports besides errors of the system is a wrong file.
+	return damaged(err, "the file cannot be written")
 }
