peer: check client certificates per request instead of in the handshake

The server now asks for the certificate and checks it for each RPC, with a cache of verified certificates. The client always gets untrusted_peer, a replaced authority counts on open connections as well, and the health check needs no certificate.

--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/base64"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -130,13 +129,9 @@
 // fromCode classifies failures of the connection and of the protocol.
 func fromCode(err error, ce *connect.Error) error {
 	const remedy = "check that the other process runs and can be reached"
-	var refused *net.OpError
 	switch {
 	case errors.Is(err, context.Canceled):
 		return err
-	case errors.As(err, &refused) && refused.Op == "remote error":
-		// With TLS 1.3 a server refuses the client's certificate after the handshake.
-		return fault.Wrap(err, fault.KindUntrustedPeer, "the other process refused this one's certificate", trustRemedy)
 	case ce.Code() == connect.CodeDeadlineExceeded:
 		return fault.Wrap(err, fault.KindDeadline, "the other process did not answer in time", remedy)
 	case ce.Code() == connect.CodeUnavailable:
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -187,8 +187,8 @@
 			"the request is for cluster %q, this process belongs to %q", clip(got, 128), p.cluster).At("cluster")
 	}
 	if p.certs != nil {
-		if r.TLS == nil || len(r.TLS.VerifiedChains) == 0 {
-			return nil, untrusted("the connection has no verified certificate")
+		if err := p.certs.verifyClient(r.TLS); err != nil {
+			return nil, err
 		}
 		return r, nil
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -364,9 +364,15 @@
 		return err
 	}
 	must.NoError(t, call(own))
+	must.NoError(t, call(own))
 	must.True(t, fault.Is(call(stranger), fault.KindUntrustedPeer))
+	open := client(own, url)
+	_, err := open.Sync(t.Context(), &apiv1.SyncRequest{})
+	must.NoError(t, err)
 	must.Eq(t, fault.KindWrongCluster, fault.KindOf(call(newPeer(t, Options{Cluster: "d", TLS: own.certs.ptr()}))))
 	second.write(t, serverDir, 2)
+	_, err = open.Sync(t.Context(), &apiv1.SyncRequest{})
+	must.Eq(t, fault.KindUntrustedPeer, fault.KindOf(err), must.Sprint("an open connection of a replaced authority is still trusted"))
 	must.Eq(t, fault.KindUntrustedPeer, fault.KindOf(call(own)), must.Sprint("the server still uses the replaced authority"))
 	must.NoError(t, call(stranger))
 	half := newPeer(t, Options{Cluster: "c", TLS: first.write(t, clientDir, 3)})
--- a/internal/peer/tls.go
+++ b/internal/peer/tls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"net"
@@ -30,8 +31,14 @@
 	stamps [3]fileStamp
 	cert   tls.Certificate
 	roots  *x509.CertPool
+	// trusted holds the certificates that were verified against roots, by their
+	// SHA-256, because a verification costs more than the rest of a small call.
+	trusted map[[sha256.Size]byte]struct{}
 }
 
+// maxTrusted bounds the verified certificates; beyond it they are verified anew.
+const maxTrusted = 8192
+
 type fileStamp struct {
 	modified time.Time
 	size     int64
@@ -75,6 +82,7 @@
 		return fault.New(fault.KindInvalidSetting, "the file holds no certificate", "name a PEM file").At(c.files.CA)
 	}
 	c.stamps, c.cert, c.roots = stamps, cert, roots
+	c.trusted = map[[sha256.Size]byte]struct{}{}
 	return nil
 }
 
@@ -83,26 +91,60 @@
 func (c *certificates) current() (tls.Certificate, *x509.CertPool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reload()
+	return c.cert, c.roots
+}
+
+func (c *certificates) reload() {
 	if stamps, err := c.stat(); err == nil && stamps != c.stamps {
 		_ = c.load(stamps)
 	}
-	return c.cert, c.roots
 }
 
-// serverConfig requires a certificate of the cluster's authorities.
+// verifyClient checks a client's certificate for one request. The handshake
+// has proved that the client holds its key. The check is made here and not in
+// the handshake, so that the client gets a typed error, a replaced authority
+// counts at once on open connections, and a health check needs no certificate.
+func (c *certificates) verifyClient(state *tls.ConnectionState) error {
+	if state == nil || len(state.PeerCertificates) == 0 {
+		return untrusted("the connection has no client certificate")
+	}
+	leaf := state.PeerCertificates[0]
+	sum := sha256.Sum256(leaf.Raw)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reload()
+	if _, ok := c.trusted[sum]; ok && time.Now().Before(leaf.NotAfter) {
+		return nil
+	}
+	intermediates := x509.NewCertPool()
+	for _, cert := range state.PeerCertificates[1:] {
+		intermediates.AddCert(cert)
+	}
+	_, err := leaf.Verify(x509.VerifyOptions{
+		Roots: c.roots, Intermediates: intermediates, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth},
+	})
+	if err != nil {
+		return fault.Wrap(err, fault.KindUntrustedPeer, "the client's certificate is not accepted", trustRemedy)
+	}
+	if len(c.trusted) >= maxTrusted {
+		clear(c.trusted)
+	}
+	c.trusted[sum] = struct{}{}
+	return nil
+}
+
+// serverConfig asks for a client certificate, which verifyClient checks.
 func (c *certificates) serverConfig() *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
-			cert, roots := c.current()
+			cert, _ := c.current()
 			return &tls.Config{
 				MinVersion:   tls.VersionTLS13,
 				Certificates: []tls.Certificate{cert},
-				ClientCAs:    roots,
-				ClientAuth:   tls.RequireAndVerifyClientCert,
+				ClientAuth:   tls.RequestClientCert,
 				NextProtos:   []string{"h2", "http/1.1"},
-				// A resumed session would skip the check against replaced authorities.
-				SessionTicketsDisabled: true,
 			}, nil
 		},
 		// ServeTLS asks for a certificate in the outer configuration.
