--- /dev/null
+++ b/internal/state/history_test.go
@@ -0,0 +1,217 @@
+package state
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/shoenig/test/must"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+)
+
+// The histories come from a simulated network with its own time: each request
+// reaches the machine after a random delay, and its answer reaches the client
+// after another, or is lost. A client that lost an answer resends, so that two
+// copies of a change or call are in flight.
+
+// call is one request of a client with what the client saw.
+type call struct {
+	cmd      *apiv1.Command
+	client   int
+	at, done int64
+	reply    any // nil when the answer was lost
+}
+
+// simulate runs the clients' scripts and returns the history. next makes the
+// next command of a client from its last answer, nil when it was lost.
+func simulate(random *rand.Rand, m *Machine, clients, steps int, next func(client int, last *call) *apiv1.Command) []porcupine.Operation {
+	var calls []*call
+	pending := make([]*call, clients)
+	free := make([]int64, clients)
+	type event struct {
+		at int64
+		c  *call
+	}
+	var queue []event
+	index := uint64(10)
+	for now := int64(0); len(calls) < steps || len(queue) > 0; now++ {
+		for i := range clients {
+			if free[i] <= now && len(calls) < steps {
+				c := &call{cmd: next(i, pending[i]), client: i, at: now}
+				calls = append(calls, c)
+				pending[i] = c
+				arrive := now + 1 + random.Int64N(20)
+				queue = append(queue, event{arrive, c})
+				c.done = arrive + 1 + random.Int64N(20)
+				free[i] = c.done + 1
+				if random.IntN(4) == 0 {
+					// The client gives up while the request may still be on its way.
+					free[i] = now + 1 + random.Int64N(30)
+					c.done = -1
+				}
+			}
+		}
+		queue = slices.DeleteFunc(queue, func(e event) bool {
+			if e.at > now {
+				return false
+			}
+			index++
+			result := m.Apply(index, e.c.cmd)
+			if e.c.done >= 0 {
+				e.c.reply = result
+			}
+			return true
+		})
+	}
+	return operations(calls)
+}
+
+// operations returns the history. A lost answer may take effect at any later
+// time, so its operation ends after all others, under a client of its own.
+func operations(calls []*call) []porcupine.Operation {
+	end := int64(0)
+	for _, c := range calls {
+		end = max(end, c.done, c.at)
+	}
+	ops := make([]porcupine.Operation, 0, len(calls))
+	for i, c := range calls {
+		op := porcupine.Operation{ClientId: c.client, Input: c.cmd, Call: c.at, Output: c.reply, Return: c.done}
+		if c.done < 0 {
+			op.ClientId, op.Return = 1000+i, end+100
+		}
+		ops = append(ops, op)
+	}
+	return ops
+}
+
+// Two clients whose changes took one number, or a change in force twice, would
+// give a history that no order of single changes explains.
+func TestChangeHistories(t *testing.T) {
+	model := porcupine.Model{
+		Init:  func() any { return []string(nil) },
+		Step:  func(s, in, out any) (bool, any) { return stepChange(s.([]string), in.(*apiv1.Command), out) },
+		Equal: func(a, b any) bool { return slices.Equal(a.([]string), b.([]string)) },
+	}
+	for seed := range uint64(40) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		m := initialized()
+		seen := make([]uint64, 4)
+		ops := simulate(random, m, 4, 60, func(client int, last *call) *apiv1.Command {
+			if last != nil && last.done < 0 && random.IntN(2) == 0 {
+				return last.cmd // a resend after a lost answer
+			}
+			if r, ok := replyOf[*apiv1.ApplyResponse](last); ok {
+				seen[client] = r.GetRevision()
+			}
+			return changeOf(seen[client]+1, "", baseModel(fmt.Sprint("m", random.IntN(3))))
+		})
+		must.True(t, porcupine.CheckOperations(model, ops), must.Sprintf("seed %d", seed))
+		must.Greater(t, uint64(3), m.Config().Revision, must.Sprintf("seed %d accepts too little", seed))
+	}
+}
+
+func replyOf[T any](c *call) (T, bool) {
+	var none T
+	if c == nil {
+		return none, false
+	}
+	r, ok := c.reply.(T)
+	return r, ok
+}
+
+// stepChange is the sequential meaning of a numbered change over the contents
+// of the accepted numbers.
+func stepChange(log []string, cmd *apiv1.Command, output any) (bool, []string) {
+	c := cmd.GetChange()
+	content := fmt.Sprint(c.GetOps())
+	want, next := conflict, log
+	switch n := c.GetNumber(); {
+	case n == uint64(len(log))+1:
+		want, next = accepted, append(slices.Clone(log), content)
+	case n >= 1 && n <= uint64(len(log)) && log[n-1] == content:
+		want = already
+	}
+	r, ok := output.(*apiv1.ApplyResponse)
+	if !ok {
+		return true, next
+	}
+	return r.GetOutcome() == want && r.GetRevision() == uint64(len(next)), next
+}
+
+// record is the sequential state of one call record.
+type record struct {
+	state   apiv1.CallState
+	request string
+	body    string
+}
+
+// A call that two requests may send, or an answer of another request, would
+// give a history that no order of single requests explains.
+func TestCallHistories(t *testing.T) {
+	model := porcupine.Model{
+		Init: func() any { return record{} },
+		Step: func(s, in, out any) (bool, any) { return stepCall(s.(record), in.(*apiv1.Command), out) },
+	}
+	for seed := range uint64(40) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		m := initialized()
+		begins := 0
+		ops := simulate(random, m, 4, 60, func(client int, last *call) *apiv1.Command {
+			if last != nil && last.done < 0 && random.IntN(2) == 0 {
+				return last.cmd
+			}
+			if r, ok := replyOf[*apiv1.BeginCallResponse](last); ok && r.GetBegun() {
+				state := apiv1.CallState_CALL_STATE_NOT_RUN
+				if random.IntN(8) == 0 {
+					state = apiv1.CallState(2 + random.IntN(2))
+				}
+				return finishOf(last.cmd.GetBeginCall(), state)
+			}
+			begins++
+			return beginOf(client, fmt.Sprint("r", begins))
+		})
+		must.True(t, porcupine.CheckOperations(model, ops), must.Sprintf("seed %d", seed))
+	}
+}
+
+func beginOf(client int, request string) *apiv1.Command {
+	return &apiv1.Command{Command: &apiv1.Command_BeginCall{BeginCall: &apiv1.BeginCall{
+		Id:          &apiv1.CallId{Team: "t", Route: "r", IdempotencyKey: "k"},
+		Fingerprint: bytes.Repeat([]byte{1}, 32), Owner: fmt.Sprint("h", client), OwnerIncarnation: 1, RequestId: request,
+	}}}
+}
+
+func finishOf(b *apiv1.BeginCall, state apiv1.CallState) *apiv1.Command {
+	return &apiv1.Command{Command: &apiv1.Command_FinishCall{FinishCall: &apiv1.FinishCall{
+		Id: b.GetId(), Owner: b.GetOwner(), OwnerIncarnation: 1, RequestId: b.GetRequestId(), State: state,
+		Answer: &apiv1.Answer{Status: 200, Body: []byte(b.GetRequestId())},
+	}}}
+}
+
+func stepCall(s record, cmd *apiv1.Command, output any) (bool, record) {
+	if b := cmd.GetBeginCall(); b != nil {
+		r, seen := output.(*apiv1.BeginCallResponse)
+		if s.state != 0 {
+			return !seen || !r.GetBegun() && r.GetState() == s.state && r.GetRequestId() == s.request &&
+				string(r.GetAnswer().GetBody()) == s.body, s
+		}
+		return !seen || r.GetBegun(), record{state: apiv1.CallState_CALL_STATE_STARTED, request: b.GetRequestId()}
+	}
+	f := cmd.GetFinishCall()
+	r, seen := output.(*apiv1.FinishCallResponse)
+	if s.state != apiv1.CallState_CALL_STATE_STARTED || s.request != f.GetRequestId() {
+		return !seen || !r.GetApplied(), s
+	}
+	next := record{state: f.GetState(), request: s.request}
+	switch f.GetState() {
+	case apiv1.CallState_CALL_STATE_NOT_RUN:
+		next = record{}
+	case apiv1.CallState_CALL_STATE_FINISHED:
+		next.body = s.request
+	}
+	return !seen || r.GetApplied(), next
+}
