Test that a token of a team is usable at one place only

Change: fewer restarts and pauses, exchanges without faults among the random steps, and a check of all usable tokens after each step.

--- a/internal/rate/rate_test.go
+++ b/internal/rate/rate_test.go
@@ -50,6 +50,7 @@
 	lender      *Lender
 	rate, burst uint64
 	hosts       []*Account
+	accounts    []*Account // those of stopped incarnations too
 	incarnation uint64
 	net         []message
 	spent       []spending
@@ -67,10 +68,11 @@
 func (w *world) restartHost(i int) {
 	w.incarnation++
 	w.hosts[i] = NewAccount(fmt.Sprintf("host-%d", i), w.incarnation)
+	w.accounts = append(w.accounts, w.hosts[i])
 }
 
 func (w *world) reserve() {
-	a, n := w.hosts[w.host()], rapid.Uint64Range(1, w.burst/2).Draw(w.t, "tokens")
+	a, n := w.hosts[w.host()], rapid.Uint64Range(1, w.burst/4).Draw(w.t, "tokens")
 	if res, ok := a.Reserve("a", n, w.now); ok {
 		w.open = append(w.open, open{a, res, len(w.spent)})
 		w.spent = append(w.spent, spending{w.now, n})
@@ -94,6 +96,9 @@
 
 func (w *world) send() {
 	i := w.host()
+	if rapid.Bool().Draw(w.t, "wants") {
+		w.hosts[i].Want("a", rapid.Uint64Range(0, w.burst).Draw(w.t, "want"))
+	}
 	m := message{host: i, acct: w.hosts[i], sent: w.now, req: w.hosts[i].Request(w.now)}
 	w.net = append(w.net, m)
 }
@@ -105,7 +110,7 @@
 	}
 	i := rapid.IntRange(0, len(w.net)-1).Draw(w.t, "message")
 	m := w.net[i]
-	if !rapid.Bool().Draw(w.t, "doubled") {
+	if rapid.IntRange(0, 4).Draw(w.t, "doubled") > 0 {
 		w.net = append(w.net[:i], w.net[i+1:]...)
 	}
 	if m.resp == nil {
@@ -124,12 +129,12 @@
 }
 
 func (w *world) step() {
-	switch rapid.IntRange(0, 40).Draw(w.t, "action") {
+	switch rapid.IntRange(0, 150).Draw(w.t, "action") {
 	case 0:
 		w.restartHost(w.host())
 	case 1:
 		w.newLender()
-	case 2:
+	case 2, 5, 6, 7:
 		w.lose()
 	case 3:
 		a := w.hosts[w.host()]
@@ -143,7 +148,12 @@
 }
 
 func (w *world) ordinary() {
-	switch rapid.IntRange(0, 6).Draw(w.t, "ordinary") {
+	switch rapid.IntRange(0, 9).Draw(w.t, "ordinary") {
+	case 7, 8, 9:
+		w.send()
+		m := w.net[len(w.net)-1]
+		m.resp = w.lender.Borrow(m.req, w.now)
+		m.acct.Apply(m.req, m.resp, m.sent)
 	case 0, 1:
 		w.reserve()
 	case 2:
@@ -153,7 +163,31 @@
 	case 4, 5:
 		w.deliver()
 	case 6:
-		w.now = w.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(w.t, "ms")) * time.Millisecond)
+		w.now = w.now.Add(time.Duration(rapid.IntRange(1, 600).Draw(w.t, "ms")) * time.Millisecond)
+	}
+}
+
+// checkUsable checks that a token exists at one place only.
+func (w *world) checkUsable() {
+	s := w.lender.Status(w.now)[0]
+	if s.GetLevel()+s.GetOutstanding() > w.burst {
+		w.t.Fatalf("level %d + outstanding %d > burst", s.GetLevel(), s.GetOutstanding())
+	}
+	usable := s.GetLevel()
+	for _, a := range w.accounts {
+		if p := a.teams["a"]; p != nil {
+			c := *p
+			c.advance(w.now)
+			usable += c.held + c.open + c.previous
+			for _, open := range c.slots {
+				if open > c.open {
+					w.t.Fatalf("%d tokens of one age are refundable, %d of all ages", open, c.open)
+				}
+			}
+		}
+	}
+	if usable > w.burst {
+		w.t.Fatalf("%d tokens are usable, more than the burst", usable)
 	}
 }
 
@@ -175,20 +209,17 @@
 // and reordered messages, restarts of hosts and new lenders.
 func TestSpendingNeverExceedsRate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{t: t, now: epoch, rate: 100, burst: 400}
+		w := &world{t: t, now: epoch, burst: 400}
+		w.rate = rapid.SampledFrom([]uint64{100, 2000}).Draw(t, "rate")
 		w.hosts = make([]*Account, rapid.IntRange(1, 4).Draw(t, "hosts"))
 		for i := range w.hosts {
 			w.restartHost(i)
 		}
 		w.newLender()
 		w.now = w.now.Add(lenderValid)
-		for range rapid.IntRange(50, 400).Draw(t, "steps") {
+		for range rapid.IntRange(50, 800).Draw(t, "steps") {
 			w.step()
-			for _, s := range w.lender.Status(w.now) {
-				if s.GetLevel()+s.GetOutstanding() > w.burst {
-					t.Fatalf("level %d + outstanding %d > burst", s.GetLevel(), s.GetOutstanding())
-				}
-			}
+			w.checkUsable()
 		}
 		w.check()
 	})
@@ -246,3 +277,26 @@
 		}
 	}
 }
+
+// Guards against a refund after the reservation has been counted as spent, and
+// against a long request that keeps the bucket from refilling.
+func TestLongReservationIsSpent(t *testing.T) {
+	l := NewLender(1, epoch)
+	l.SetTeams(teams(100, 400), epoch)
+	a := NewAccount("a", 1)
+	now := epoch.Add(time.Minute)
+	a.Want("a", 400)
+	exchange(l, a, now)
+	r, ok := a.Reserve("a", 400, now)
+	must.True(t, ok)
+	for range 20 {
+		must.LessEq(t, 400, l.Status(now)[0].GetLevel()+l.Status(now)[0].GetOutstanding())
+		now = now.Add(250 * time.Millisecond)
+		exchange(l, a, now)
+	}
+	must.Eq(t, 400, l.Status(now)[0].GetSpent())
+	held := a.teams["a"].held
+	a.Settle(r, 0, now)
+	must.Eq(t, held, a.teams["a"].held)
+	must.Positive(t, l.Status(now)[0].GetLevel()+held)
+}
