Add the policy measurement on virtual time

Cause: the policies of placement, queue, rates and routing need figures beside simple baselines before they are tuned.

Change: package bench drives the product's decision code with fakes of engines, the weight store, the control leader and callers, and jasmine-bench policy prints the four measures and the time to first token. Routing leaves an engine alone when it has more than 2 requests beyond its batch, so that requests wait in the fair queue and not at the engine.

--- /dev/null
+++ b/internal/bench/baseline.go
@@ -0,0 +1,185 @@
+package bench
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/placement"
+	"github.com/jasminesaddle/jasminesaddle/internal/rate"
+	"github.com/jasminesaddle/jasminesaddle/internal/routing"
+)
+
+// rates is a host's part of the teams' rates.
+type rates interface {
+	reserve(r *request, now time.Time) bool
+	settle(r *request, used uint64, now time.Time)
+	want(team int, tokens uint64)
+	borrow(now time.Time)
+}
+
+func newRates(w *world, host int) rates {
+	if w.cfg.Policy.EqualSplit {
+		s := &splitRates{}
+		n := float64(w.cfg.Deployment.Hosts)
+		for _, t := range w.teams {
+			s.buckets = append(s.buckets, newBucket(float64(t.GetRate().GetTokensPerSecond())/n, float64(t.GetRate().GetBurstTokens())/n))
+		}
+		return s
+	}
+	return &leasedRates{
+		lender: w.lender, account: rate.NewAccount(hostName(host), 1),
+		random: rand.New(rand.NewPCG(w.cfg.Seed, 100+uint64(host))),
+	}
+}
+
+// leasedRates is the product's account. One Borrow answer in lostOneIn is lost.
+type leasedRates struct {
+	lender  *rate.Lender
+	account *rate.Account
+	random  *rand.Rand
+}
+
+const lostOneIn = 100
+
+func (l *leasedRates) reserve(r *request, now time.Time) bool {
+	res, ok := l.account.Reserve(teamName(r.team), r.tokens(), now)
+	if ok {
+		r.reservation = res
+	}
+	return ok
+}
+
+func (l *leasedRates) settle(r *request, used uint64, now time.Time) {
+	l.account.Settle(r.reservation.(rate.Reservation), used, now)
+}
+
+func (l *leasedRates) want(team int, tokens uint64) { l.account.Want(teamName(team), tokens) }
+
+func (l *leasedRates) borrow(now time.Time) {
+	req := l.account.Request(now)
+	resp := l.lender.Borrow(req, now)
+	if l.random.IntN(lostOneIn) > 0 {
+		l.account.Apply(req, resp, now)
+	}
+}
+
+// splitRates is the baseline of an equal split of rate and burst.
+type splitRates struct{ buckets []*bucket }
+
+func (s *splitRates) reserve(r *request, now time.Time) bool {
+	return s.buckets[r.team].take(r.tokens(), now)
+}
+
+func (s *splitRates) settle(r *request, used uint64, now time.Time) {
+	s.buckets[r.team].give(r.tokens()-used, now)
+}
+
+func (s *splitRates) want(int, uint64) {}
+func (s *splitRates) borrow(time.Time) {}
+
+// leastLoaded is the baseline of routing: the least reported load plus own
+// requests.
+func leastLoaded(candidates []routing.Candidate) (routing.Decision, bool) {
+	c := slices.MinFunc(candidates, func(a, b routing.Candidate) int {
+		return cmp.Or(cmp.Compare(a.Running+a.Queued, b.Running+b.Queued), cmp.Compare(a.Engine, b.Engine))
+	})
+	if c.Own >= maxBatch+2 {
+		return routing.Decision{}, false
+	}
+	return routing.Decision{Engine: c.Engine, Considered: len(candidates)}, true
+}
+
+func newPlacement(p Policy) planner {
+	if p.Placement == "" {
+		return placement.NewPlanner(placement.Options{})
+	}
+	return &simplePlacement{static: p.Placement == "static"}
+}
+
+// simplePlacement is the baseline of placement: it loads each adapter that
+// requests wait for at once, on the engine of its hash or the least loaded one,
+// and drains the least recently used idle adapter there.
+type simplePlacement struct{ static bool }
+
+// Plan implements planner.
+func (p *simplePlacement) Plan(s placement.Snapshot) []placement.Action {
+	var actions []placement.Action
+	used, draining, drained := make([]int, len(s.Engines)), make([]int, len(s.Engines)), map[string]bool{}
+	resident := map[placement.Ref]placement.State{}
+	for i, e := range s.Engines {
+		used[i] = len(e.Residents)
+		for _, r := range e.Residents {
+			if e.Healthy {
+				resident[r.Ref] = r.State
+			}
+			if r.State == placement.Draining {
+				draining[i]++
+			}
+		}
+	}
+	for _, d := range s.Demand {
+		if state, ok := resident[d.Ref]; d.Waiting == 0 || ok && state != placement.Draining {
+			continue
+		}
+		i := p.engine(s, d.Ref, used)
+		if i < 0 || resident[d.Ref] == placement.Draining {
+			continue
+		}
+		e := s.Engines[i]
+		if used[i] < e.Slots {
+			used[i]++
+			actions = append(actions, placement.Action{Kind: placement.Load, Engine: e.Name, Ref: d.Ref})
+		} else if draining[i] > 0 {
+			draining[i]--
+		} else if victim, ok := leastRecent(e, drained); ok {
+			drained[e.Name+victim.Adapter] = true
+			actions = append(actions, placement.Action{Kind: placement.Drain, Engine: e.Name, Ref: victim})
+		}
+	}
+	return actions
+}
+
+func (p *simplePlacement) engine(s placement.Snapshot, ref placement.Ref, used []int) int {
+	if p.static {
+		i := int(xxhash.Sum64String(ref.Adapter) % uint64(len(s.Engines)))
+		if !s.Engines[i].Healthy {
+			return -1
+		}
+		return i
+	}
+	best, least := -1, 0
+	for i, e := range s.Engines {
+		load := 0
+		for _, r := range e.Residents {
+			load += r.InFlight
+		}
+		if used[i] >= e.Slots {
+			load += maxBatch // a free slot is better than a drain
+		}
+		if e.Healthy && (best < 0 || load < least) {
+			best, least = i, load
+		}
+	}
+	return best
+}
+
+func leastRecent(e placement.Engine, drained map[string]bool) (placement.Ref, bool) {
+	var best *placement.Resident
+	for i := range e.Residents {
+		r := &e.Residents[i]
+		if r.State != placement.Ready || r.InFlight > 0 || drained[e.Name+r.Ref.Adapter] {
+			continue
+		}
+		if best == nil || r.LastUsed.Before(best.LastUsed) {
+			best = r
+		}
+	}
+	if best == nil {
+		return placement.Ref{}, false
+	}
+	return best.Ref, true
+}
--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,89 @@
+package bench
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func short(policy Policy) Config {
+	return Config{Deployment: Deployments()[0], Policy: policy, Seed: 3, Duration: 30 * time.Second}
+}
+
+// Guards against measures that depend on map order or on parallel runs, which
+// would make figures of one seed incomparable.
+func TestRunsRepeat(t *testing.T) {
+	for _, p := range Policies() {
+		t.Run(p.Name, func(t *testing.T) {
+			t.Parallel()
+			first := Run(short(p))
+			must.Eq(t, first, Run(short(p)))
+			must.Positive(t, first.Served)
+		})
+	}
+}
+
+// Guards against a baseline that meets other requests than the product.
+func TestPoliciesMeetSameRequests(t *testing.T) {
+	a, b := newWorld(short(Policies()[0])), newWorld(short(Policies()[1]))
+	must.Eq(t, len(a.requests), len(b.requests))
+	for i, r := range a.requests {
+		must.Eq(t, r.arrived, b.requests[i].arrived)
+		must.Eq(t, r.ref, b.requests[i].ref)
+		must.Eq(t, r.withinRate, b.requests[i].withinRate)
+	}
+}
+
+// Guards against a judge or an oracle that calls requests within the rate beyond
+// burst + rate x time.
+func TestOracle(t *testing.T) {
+	var requests []*request
+	for i := range 100 {
+		requests = append(requests, &request{arrived: epoch.Add(time.Duration(i) * 100 * time.Millisecond), prompt: 44, output: maxOutput})
+	}
+	markTeam(requests, newBucket(1000, 900)) // 300 tokens each, 3000 tokens/s offered
+	admitted := 0
+	for _, r := range requests {
+		if r.withinRate {
+			admitted++
+			must.Between(t, 0, r.due.Sub(r.arrived), interactiveDeadline)
+		}
+	}
+	must.Between(t, 40, admitted, 47) // (900 + 1000 x (10..13 s)) / 300
+	j := judge{newBucket(1000, 900)}
+	for range 3 {
+		must.False(t, !j.wrongful(requests[0], epoch))
+		j.admit(requests[0], epoch)
+	}
+	must.False(t, j.wrongful(requests[0], epoch))
+}
+
+// Guards against a weight store that is faster than its limits.
+func TestStoreLimits(t *testing.T) {
+	for _, c := range []struct {
+		loads int
+		ticks int
+	}{
+		{1, 50}, {2, 50}, // 0.25 s
+		{3, 75},        // three share the speed of two
+		{6, 50 + 3*67}, // the fourth to sixth start at 3/s
+	} {
+		s, done, ticks := newStore(), 0, 0
+		for range c.loads {
+			s.queue = append(s.queue, &load{left: loadTime})
+		}
+		for ; done < c.loads; ticks++ {
+			done += len(s.advance(epoch.Add(time.Duration(ticks) * tick)))
+		}
+		must.Between(t, c.ticks-2, ticks, c.ticks+60, must.Sprint(c.loads, " loads"))
+	}
+}
+
+// Guards against a table that lacks a policy.
+func TestTable(t *testing.T) {
+	var out bytes.Buffer
+	must.NoError(t, WriteTable(&out, RunAll([]Config{short(Policies()[0])}, 1)))
+	must.StrContains(t, out.String(), "jasmine")
+}
--- /dev/null
+++ b/internal/bench/oracle.go
@@ -0,0 +1,126 @@
+package bench
+
+import (
+	"container/heap"
+	"time"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+)
+
+// nominalTokenTime is the time per output token by which the oracle returns the
+// unused part of a reservation.
+const nominalTokenTime = 20 * time.Millisecond
+
+// bucket is a token bucket without leases: the oracle's, and a host's part in
+// the baseline of an equal split.
+type bucket struct {
+	rate, burst, level float64
+	last               time.Time
+}
+
+func newBucket(rate, burst float64) *bucket {
+	return &bucket{rate: rate, burst: burst, level: burst, last: epoch}
+}
+
+func (b *bucket) advance(now time.Time) {
+	b.level = min(b.burst, b.level+b.rate*now.Sub(b.last).Seconds())
+	b.last = now
+}
+
+func (b *bucket) take(tokens uint64, now time.Time) bool {
+	b.advance(now)
+	if b.level < float64(tokens) {
+		return false
+	}
+	b.level -= float64(tokens)
+	return true
+}
+
+func (b *bucket) give(tokens uint64, now time.Time) {
+	b.advance(now)
+	b.level = min(b.burst, b.level+float64(tokens))
+}
+
+// refund returns tokens to a bucket at a time.
+type refund struct {
+	at     time.Time
+	tokens uint64
+}
+
+type refunds []refund
+
+func (r refunds) Len() int           { return len(r) }
+func (r refunds) Less(i, j int) bool { return r[i].at.Before(r[j].at) }
+func (r refunds) Swap(i, j int)      { r[i], r[j] = r[j], r[i] }
+
+// Push implements heap.Interface.
+func (r *refunds) Push(x any) { *r = append(*r, x.(refund)) }
+
+// Pop implements heap.Interface.
+func (r *refunds) Pop() any {
+	last := (*r)[len(*r)-1]
+	*r = (*r)[:len(*r)-1]
+	return last
+}
+
+// markWithinRate runs the requests through the oracle: each team's bucket admits
+// its requests in the order of arrival, each within its class's wait bound.
+func markWithinRate(requests []*request, teams []*apiv1.Team) {
+	byTeam := make([][]*request, len(teams))
+	for _, r := range requests {
+		byTeam[r.team] = append(byTeam[r.team], r)
+	}
+	for i, t := range teams {
+		markTeam(byTeam[i], newBucket(float64(t.GetRate().GetTokensPerSecond()), float64(t.GetRate().GetBurstTokens())))
+	}
+}
+
+func markTeam(requests []*request, b *bucket) {
+	var due refunds
+	for _, r := range requests {
+		for now := maxTime(r.arrived, b.last); !now.After(r.arrived.Add(r.deadline())); now = now.Add(tick) {
+			for len(due) > 0 && !due[0].at.After(now) {
+				b.give(heap.Pop(&due).(refund).tokens, now)
+			}
+			if b.take(r.tokens(), now) {
+				r.withinRate, r.due = true, now
+				heap.Push(&due, refund{now.Add(time.Duration(r.output) * nominalTokenTime), r.tokens() - r.used()})
+				break
+			}
+		}
+	}
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// judge is the central bucket of each team with what was really admitted. It
+// tells whether a refusal was within the rate.
+type judge []*bucket
+
+func newJudge(teams []*apiv1.Team) judge {
+	var j judge
+	for _, t := range teams {
+		j = append(j, newBucket(float64(t.GetRate().GetTokensPerSecond()), float64(t.GetRate().GetBurstTokens())))
+	}
+	return j
+}
+
+// wrongful tells whether the team's bucket has the tokens that r asks for.
+func (j judge) wrongful(r *request, now time.Time) bool {
+	j[r.team].advance(now)
+	return j[r.team].level >= float64(r.tokens())
+}
+
+func (j judge) admit(r *request, now time.Time) {
+	j[r.team].advance(now)
+	j[r.team].level -= float64(r.tokens())
+}
+
+func (j judge) settle(r *request, used uint64, now time.Time) {
+	j[r.team].give(r.tokens()-used, now)
+}
--- a/internal/routing/planner.go
+++ b/internal/routing/planner.go
@@ -53,6 +53,9 @@
 	RemoteCost float64
 	// QueueWeight is the cost of a request that waits in an engine's own queue.
 	QueueWeight float64
+	// Headroom is how many requests beyond its batch an engine may have before
+	// further ones wait on the entry host, where the fair queue orders them.
+	Headroom int
 }
 
 func (o Options) withDefaults() Options {
@@ -60,16 +63,17 @@
 	o.PrefixWeight = cmp.Or(o.PrefixWeight, 3)
 	o.RemoteCost = cmp.Or(o.RemoteCost, 0.25)
 	o.QueueWeight = cmp.Or(o.QueueWeight, 2)
+	o.Headroom = cmp.Or(o.Headroom, 2)
 	return o
 }
 
 // Reasons of decisions.
 const (
-	ReasonOnly    = "only candidate"
-	ReasonLoad    = "least loaded of the sample"
-	ReasonPrefix  = "prompt prefix cached"
-	ReasonSuspect = "every candidate has a crash suspect in flight"
-	ReasonNone    = "no candidate"
+	ReasonOnly   = "only candidate"
+	ReasonLoad   = "least loaded of the sample"
+	ReasonPrefix = "prompt prefix cached"
+	ReasonFull   = "every candidate is full or has a crash suspect in flight"
+	ReasonNone   = "no candidate"
 )
 
 // Planner chooses engines. It is not safe for concurrent use.
@@ -93,7 +97,7 @@
 	}
 	first, second, n := p.sample(req, candidates)
 	if n == 0 {
-		return Decision{Reason: ReasonSuspect}, false
+		return Decision{Reason: ReasonFull}, false
 	}
 	d := Decision{Score: math.Inf(1), Reason: ReasonLoad, Considered: n}
 	if n == 1 {
@@ -103,21 +107,36 @@
 	if second >= 0 {
 		p.consider(req, &candidates[second], ReasonLoad, &d)
 	}
-	if cached := longestPrefix(req, candidates); cached >= 0 && cached != first && cached != second {
+	if cached := p.longestPrefix(req, candidates); cached >= 0 && cached != first && cached != second {
 		p.consider(req, &candidates[cached], ReasonPrefix, &d)
 	}
 	return d, true
 }
 
-// allowed keeps two crash suspects off the same engine.
-func allowed(req Request, c *Candidate) bool { return !req.Suspect || c.Suspects == 0 }
+// allowed keeps two crash suspects off the same engine and requests out of the
+// engines' own queues, which are not fair.
+func (p *Planner) allowed(req Request, c *Candidate) bool {
+	if req.Suspect && c.Suspects > 0 {
+		return false
+	}
+	return c.MaxBatch == 0 || p.load(c) < float64(c.MaxBatch+p.opts.Headroom)
+}
+
+// load estimates the requests on the engine. The report counts the requests of
+// all hosts; it is discounted by age, and the known requests in flight are the
+// lower bound.
+func (p *Planner) load(c *Candidate) float64 {
+	known := float64(c.Own + c.Others)
+	weight := math.Exp2(-float64(c.ReportAge) / float64(p.opts.ReportHalfLife))
+	return known + weight*max(0, float64(c.Running+c.Queued)-known)
+}
 
 // sample draws two distinct allowed candidates in one pass and returns the
 // number of allowed ones.
 func (p *Planner) sample(req Request, candidates []Candidate) (first, second, n int) {
 	first, second = -1, -1
 	for i := range candidates {
-		if !allowed(req, &candidates[i]) {
+		if !p.allowed(req, &candidates[i]) {
 			continue
 		}
 		n++
@@ -137,10 +156,10 @@
 	return first, second, n
 }
 
-func longestPrefix(req Request, candidates []Candidate) int {
+func (p *Planner) longestPrefix(req Request, candidates []Candidate) int {
 	best, tokens := -1, 0
 	for i := range candidates {
-		if c := &candidates[i]; c.PrefixTokens > tokens && allowed(req, c) {
+		if c := &candidates[i]; c.PrefixTokens > tokens && p.allowed(req, c) {
 			best, tokens = i, c.PrefixTokens
 		}
 	}
@@ -157,18 +176,14 @@
 	}
 }
 
-// score estimates the load that the request meets, in requests. The report
-// counts the requests of all hosts; it is discounted by age, and the counts of
-// requests in flight are the lower bound.
+// score estimates the load that the request meets, in requests.
 func (p *Planner) score(req Request, c *Candidate) float64 {
-	weight := math.Exp2(-float64(c.ReportAge) / float64(p.opts.ReportHalfLife))
-	known := float64(c.Own + c.Others)
-	reported := float64(c.Running) + p.opts.QueueWeight*float64(c.Queued)
-	score := known + weight*max(0, reported-known)
+	score := p.load(c)
 	if c.MaxBatch > 0 {
 		// Requests beyond the batch wait for a whole request to end.
-		score += p.opts.QueueWeight * max(0, known-float64(c.MaxBatch))
+		score += p.opts.QueueWeight * max(0, score-float64(c.MaxBatch))
 	}
+	score += p.opts.QueueWeight * float64(c.Queued)
 	if req.FailureDomain != "" && c.FailureDomain != req.FailureDomain {
 		score += p.opts.RemoteCost
 	}
