Charge the judge with refusals within the rate

Cause: a team that sends several times its rate is refused all the time.

Change: the judge's bucket is charged with a wrongful refusal. A host reports as lacking only the heads of groups that lack tokens, and not everything that the team has queued.

The other measures do not depend on the judge.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -24,7 +24,8 @@
 // wait bound; those are within the rate. It takes prompt + max_tokens and
 // returns the unused part after the request's nominal duration, and does not
 // depend on the policy. The judge is such a bucket with the requests that the
-// policy admitted, at the time when it did.
+// policy admitted, at the time when it did; it is charged with a refusal within
+// the rate as well, so that no token accounts for two refusals.
 //
 // Requests lost to the crash of an engine or of an entry host count as not
 // served in time, and not as refused.
--- a/internal/bench/host.go
+++ b/internal/bench/host.go
@@ -130,7 +130,7 @@
 		return false
 	}
 	if !h.rates.reserve(r, h.w.now) {
-		h.lacking[r.team] = h.tokens[r.team]
+		h.lacking[r.team] += r.tokens()
 		return false
 	}
 	return true
--- a/internal/bench/oracle.go
+++ b/internal/bench/oracle.go
@@ -110,10 +110,16 @@
 	return j
 }
 
-// wrongful tells whether the team's bucket has the tokens that r asks for.
-func (j judge) wrongful(r *request, now time.Time) bool {
+// refuse tells whether the team's bucket has the tokens that r asks for. The
+// bucket is then charged with what r would have used, so that a token that was
+// not lent to anyone accounts for one refusal only.
+func (j judge) refuse(r *request, now time.Time) bool {
 	j[r.team].advance(now)
-	return j[r.team].level >= float64(r.tokens())
+	if j[r.team].level < float64(r.tokens()) {
+		return false
+	}
+	j[r.team].level -= float64(r.used())
+	return true
 }
 
 func (j judge) admit(r *request, now time.Time) {
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -117,7 +117,7 @@
 func (w *world) refuse(r *request, why outcome) {
 	r.outcome = why
 	r.stall = w.stall(r)
-	r.wrongful = w.judge.wrongful(r, w.now)
+	r.wrongful = w.judge.refuse(r, w.now)
 }
 
 func (w *world) noteReady(ref placement.Ref) {
