Hold fewer unused tokens on the entry hosts

Cause: nearly the whole burst was outstanding. Each host kept half a second of demand or its largest request ever, and up to twice that, which is more than the burst of a small team on 9 hosts.

Change: a host holds 0.35 s of demand and returns what exceeds 1.25 times that. There is no floor for the largest request.

--- a/internal/rate/purse.go
+++ b/internal/rate/purse.go
@@ -20,7 +20,6 @@
 	debt                  uint64 // use beyond reservations, taken from later grants
 	taken, queued         uint64 // demand since the last request
 	demand                float64
-	largest               uint64
 	retryAt               time.Time
 }
 
@@ -64,7 +63,6 @@
 	if p.available() < r.tokens {
 		return false
 	}
-	p.largest = max(p.largest, r.tokens)
 	r.generation, r.slot = p.generation, p.slot
 	if old := min(p.previous, r.tokens); old > 0 {
 		// Tokens of an earlier term are not refundable under this one.
@@ -139,15 +137,19 @@
 	p.taken = 0
 }
 
+const (
+	// targetSeconds of demand are held in advance. Borrow runs every 250 ms; more
+	// would lie idle at this host while another one lacks it.
+	targetSeconds = 0.35
+	// keepRatio is how much more than the target a host keeps.
+	keepRatio = 1.25
+)
+
 // report returns the team's part of a request, or nil when there is nothing to say.
 func (p *purse) report(team string) *apiv1.TeamBorrow {
-	// Half a second of demand covers a lost answer at the usual interval of 250 ms.
-	target := uint64(p.demand/2) + p.queued + p.debt
-	if p.demand > 1 {
-		target = max(target, p.largest+p.queued)
-	}
+	target := uint64(p.demand*targetSeconds) + p.queued + p.debt
 	p.queued = 0
-	if keep := 2 * target; p.held > keep {
+	if keep := uint64(keepRatio * float64(target)); p.held > keep {
 		p.returned += p.held - keep
 		p.held = keep
 	}
