--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,373 @@
+package pool
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/standin"
+)
+
+var errBroken = errors.New("broken pipe")
+
+// brokenConn accepts a number of bytes and then fails.
+type brokenConn struct {
+	net.Conn
+	accepts int
+}
+
+func (c *brokenConn) Write(p []byte) (int, error) {
+	n := min(c.accepts, len(p))
+	c.accepts -= n
+	return n, errBroken
+}
+
+// dialTo returns a dialer of connections whose other side is handled by serve.
+func dialTo(serve func(c net.Conn)) func(context.Context, string, string) (net.Conn, error) {
+	return func(context.Context, string, string) (net.Conn, error) {
+		client, server := net.Pipe()
+		go serve(server)
+		return client, nil
+	}
+}
+
+func post(ctx context.Context, rt http.RoundTripper) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://192.0.2.1/x", strings.NewReader("body"))
+	if err != nil {
+		return nil, err
+	}
+	return rt.RoundTrip(req)
+}
+
+// TestFailedCalls guards against a wrong "not run" and against calls without a
+// bound in time.
+func TestFailedCalls(t *testing.T) {
+	blocked := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	broken := func(accepts int) func(context.Context, string, string) (net.Conn, error) {
+		return func(context.Context, string, string) (net.Conn, error) {
+			client, _ := net.Pipe()
+			return &brokenConn{Conn: client, accepts: accepts}, nil
+		}
+	}
+	hang := func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }
+	reset := func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 1))
+		c.Close()
+	}
+	for _, tc := range []struct {
+		name   string
+		dial   func(context.Context, string, string) (net.Conn, error)
+		cancel time.Duration
+		kind   fault.Kind
+		sent   bool
+		silent bool
+		after  time.Duration
+	}{
+		{name: "connect bound", dial: blocked, kind: fault.KindNoBackend, after: time.Second},
+		{name: "cancelled while connecting", dial: blocked, cancel: time.Second / 2, kind: fault.KindDeadline, after: time.Second / 2},
+		{name: "no byte accepted", dial: broken(0), kind: fault.KindNoBackend},
+		{name: "one byte accepted", dial: broken(1), kind: fault.KindBackendFailed, sent: true},
+		{name: "reset after a byte", dial: dialTo(reset), kind: fault.KindBackendFailed, sent: true},
+		// A pipe takes no byte that is not read, so the closed write left nothing.
+		{name: "never read", dial: dialTo(func(net.Conn) {}), kind: fault.KindBackendSilent, silent: true, after: 3 * time.Second},
+		{name: "silent", dial: dialTo(hang), kind: fault.KindBackendSilent, sent: true, silent: true, after: 3 * time.Second},
+		{name: "cancelled while waiting", dial: dialTo(hang), cancel: time.Second, kind: fault.KindDeadline, sent: true, after: time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				set := NewSet(Options{Dial: tc.dial, FirstByte: 3 * time.Second})
+				defer set.Close()
+				for _, rt := range []http.RoundTripper{set.Transport("b"), set.SingleUse("b")} {
+					ctx, cancel := context.WithTimeout(t.Context(), orDefault(tc.cancel, time.Hour))
+					ctx, attempt := WithAttempt(ctx)
+					began := time.Now()
+					_, err := post(ctx, rt)
+					cancel()
+					var e *Error
+					must.True(t, errors.As(err, &e))
+					must.EqOp(t, tc.kind, fault.KindOf(err))
+					must.EqOp(t, tc.sent, e.MaySent)
+					must.EqOp(t, tc.sent, attempt.MaySent())
+					must.EqOp(t, tc.silent, e.Silent)
+					must.EqOp(t, tc.after, time.Since(began))
+					f, _ := fault.As(err)
+					must.EqOp(t, map[bool]fault.Run{false: fault.NotRun, true: fault.OutcomeUnknown}[tc.sent], f.Run)
+				}
+			})
+		})
+	}
+}
+
+// countingConn counts the bytes that the other side got.
+type countingConn struct {
+	net.Conn
+	got *atomic.Int64
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.got.Add(int64(n))
+	return n, err
+}
+
+// TestNotSentIsExact guards against a byte that leaves after a cancelled call
+// was reported as not sent.
+func TestNotSentIsExact(t *testing.T) {
+	notSent := 0
+	for range 300 {
+		synctest.Test(t, func(t *testing.T) {
+			var got atomic.Int64
+			dial := dialTo(func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
+			set := NewSet(Options{Dial: func(ctx context.Context, n, a string) (net.Conn, error) {
+				c, err := dial(ctx, n, a)
+				return &countingConn{Conn: c, got: &got}, err
+			}})
+			defer set.Close()
+			ctx, cancel := context.WithCancel(t.Context())
+			ctx, attempt := WithAttempt(ctx)
+			ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { cancel() }})
+			_, err := post(ctx, set.Transport("b"))
+			must.Error(t, err)
+			sent := attempt.MaySent()
+			synctest.Wait()
+			if !sent {
+				notSent++
+				must.EqOp(t, 0, got.Load())
+			}
+		})
+	}
+	t.Logf("%d of 300 cancelled calls were not sent", notSent)
+}
+
+// TestPendingWrite guards against a write that has begun and not returned, which
+// may still put bytes on the wire.
+func TestPendingWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, server := net.Pipe()
+		c := &conn{Conn: client, release: func() {}}
+		go func() { _, _ = c.Write([]byte("x")) }()
+		synctest.Wait()
+		must.True(t, c.maySent(0, true))
+		_, err := c.Write([]byte("y"))
+		must.ErrorIs(t, err, errSealed)
+		server.Close()
+	})
+}
+
+// site is an HTTP server over in-memory connections that counts what arrives.
+type site struct {
+	*standin.PipeListener
+	dials   atomic.Int64
+	health  atomic.Int64
+	calls   atomic.Int64
+	broken  atomic.Bool
+	release chan struct{}
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{PipeListener: standin.NewPipeListener(), release: make(chan struct{})}
+	srv := &http.Server{Handler: s}
+	go func() { _ = srv.Serve(s) }()
+	t.Cleanup(func() { srv.Close() })
+	return s
+}
+
+func (s *site) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	s.dials.Add(1)
+	return s.PipeListener.DialContext(ctx, network, address)
+}
+
+func (s *site) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		s.health.Add(1)
+		if s.broken.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		return
+	}
+	s.calls.Add(1)
+	switch r.URL.Path {
+	case "/drop":
+		panic(http.ErrAbortHandler)
+	case "/move":
+		http.Redirect(w, r, "/x", http.StatusTemporaryRedirect)
+	case "/stream":
+		_, _ = io.WriteString(w, "first")
+		_ = http.NewResponseController(w).Flush()
+		<-s.release
+		_, _ = io.WriteString(w, " last")
+	}
+}
+
+func (s *site) get(t *testing.T, rt http.RoundTripper, path string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://192.0.2.1"+path, nil)
+	must.NoError(t, err)
+	req.Header.Set("Idempotency-Key", "k")
+	return rt.RoundTrip(req)
+}
+
+func (s *site) ok(t *testing.T, rt http.RoundTripper, path string) {
+	t.Helper()
+	resp, err := s.get(t, rt, path)
+	must.NoError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	must.NoError(t, err)
+	must.NoError(t, resp.Body.Close())
+	synctest.Wait()
+}
+
+// TestReplacement guards against connections that stay silent for ever, against
+// the loss of streams by the replacement, and against calls on a connection
+// that was not probed.
+func TestReplacement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		set := NewSet(Options{Dial: s.DialContext})
+		defer set.Close()
+		rt := set.Transport("b")
+		stream, err := s.get(t, rt, "/stream")
+		must.NoError(t, err)
+		s.ok(t, rt, "/x")
+		must.EqOp(t, 2, s.dials.Load())
+
+		set.ReportSilent("b")
+		s.ok(t, rt, "/x")
+		must.EqOp(t, 2, s.dials.Load(), must.Sprint("one failure replaces nothing"))
+		set.ReportSilent("b")
+		s.broken.Store(true)
+		calls := s.calls.Load()
+		_, err = s.get(t, rt, "/x")
+		f, _ := fault.As(err)
+		must.EqOp(t, fault.NotRun, f.Run)
+		must.EqOp(t, calls, s.calls.Load(), must.Sprint("a call went over a connection that failed its probe"))
+
+		s.broken.Store(false)
+		s.ok(t, rt, "/x")
+		must.EqOp(t, 4, s.dials.Load(), must.Sprint("the probed connection carries the call"))
+		s.ok(t, rt, "/x")
+		must.EqOp(t, 2, s.health.Load())
+		must.EqOp(t, 4, s.dials.Load())
+
+		close(s.release)
+		whole, err := io.ReadAll(stream.Body)
+		must.NoError(t, err)
+		must.EqOp(t, "first last", string(whole))
+		stream.Body.Close()
+	})
+}
+
+// TestSilentWindow guards against replacements because of failures that are far
+// apart, or that happened on a transport that is already replaced.
+func TestSilentWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		set := NewSet(Options{})
+		v := set.server("b")
+		first := v.current()
+		set.ReportSilent("b")
+		time.Sleep(time.Minute)
+		set.ReportSilent("b")
+		must.EqOp(t, first, v.current())
+		set.ReportSilent("b")
+		second := v.current()
+		must.NotEqOp(t, first, second)
+		for range 10 {
+			v.reportSilent(first)
+		}
+		must.EqOp(t, second, v.current())
+	})
+}
+
+// TestNeverTwice guards against requests that net/http sends again after the
+// connection closed, against reuse of connections by single-use calls, and
+// against followed redirects.
+func TestNeverTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		t.Setenv("HTTP_PROXY", "http://192.0.2.9:1")
+		s := newSite(t)
+		set := NewSet(Options{Dial: func(ctx context.Context, n, a string) (net.Conn, error) {
+			must.EqOp(t, "192.0.2.1:80", a)
+			return s.DialContext(ctx, n, a)
+		}})
+		defer set.Close()
+		for i, rt := range []http.RoundTripper{set.Transport("b"), set.SingleUse("b")} {
+			s.ok(t, rt, "/x")
+			dials := s.dials.Load()
+			s.ok(t, rt, "/x")
+			must.EqOp(t, dials+int64(i), s.dials.Load(), must.Sprint("only a single-use call dials again"))
+			before := s.calls.Load()
+			_, err := s.get(t, rt, "/drop")
+			must.Error(t, err)
+			must.EqOp(t, fault.KindBackendFailed, fault.KindOf(err))
+			must.EqOp(t, before+1, s.calls.Load())
+			resp, err := s.get(t, rt, "/move")
+			must.NoError(t, err)
+			resp.Body.Close()
+			must.EqOp(t, http.StatusTemporaryRedirect, resp.StatusCode)
+			must.EqOp(t, before+2, s.calls.Load())
+		}
+	})
+}
+
+// TestConnectionBound guards against an unbounded number of connections and
+// against connections that are counted for ever.
+func TestConnectionBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		set := NewSet(Options{Dial: s.DialContext, MaxConns: 4, FirstByte: time.Second})
+		defer set.Close()
+		rt := set.Transport("b")
+		for range 3 {
+			var open []*http.Response
+			for range 2 {
+				resp, err := s.get(t, rt, "/stream")
+				must.NoError(t, err)
+				open = append(open, resp)
+			}
+			_, err := s.get(t, rt, "/x")
+			f, _ := fault.As(err)
+			must.EqOp(t, fault.NotRun, f.Run)
+			for _, resp := range open {
+				resp.Body.Close()
+			}
+			synctest.Wait()
+			must.EqOp(t, 0, set.server("b").conns.Load())
+		}
+		close(s.release)
+	})
+}
+
+// TestGap guards against answers that become silent after they began, and
+// against a slow reader that makes the backend server look silent.
+func TestGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		set := NewSet(Options{Dial: s.DialContext, Gap: 2 * time.Second})
+		defer set.Close()
+		resp, err := s.get(t, set.Transport("b"), "/stream")
+		must.NoError(t, err)
+		part := make([]byte, 5)
+		_, err = io.ReadFull(resp.Body, part)
+		must.NoError(t, err)
+		time.Sleep(time.Hour)
+		began := time.Now()
+		_, err = resp.Body.Read(part)
+		must.EqOp(t, fault.KindBackendSilent, fault.KindOf(err))
+		must.EqOp(t, 2*time.Second, time.Since(began))
+		resp.Body.Close()
+		close(s.release)
+	})
+}
--- a/internal/pool/roundtrip.go
+++ b/internal/pool/roundtrip.go
@@ -116,6 +116,9 @@
 		c.server.reportSilent(c.gen)
 		e.fault = fault.Wrap(errFirstByte, fault.KindBackendSilent,
 			"backend server "+c.server.name+" sent no answer in time", "try again later")
+	case errors.Is(err, errTooManyConns):
+		e.fault = fault.Wrap(err, fault.KindOverloaded,
+			"backend server "+c.server.name+" has too many open connections", "try again later")
 	case e.MaySent:
 		e.fault = fault.Wrap(err, fault.KindBackendFailed,
 			"the connection to backend server "+c.server.name+" failed during the call", "check the backend server")
--- a/internal/standin/batch.go
+++ b/internal/standin/batch.go
@@ -81,7 +81,18 @@
 func (b *batch) counts() (running, waiting int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.running), len(b.waiting)
+	return unfinished(b.running), unfinished(b.waiting)
+}
+
+// unfinished counts without the sequences that ended since the last step.
+func unfinished(list []*sequence) int {
+	n := 0
+	for _, s := range list {
+		if !s.finished {
+			n++
+		}
+	}
+	return n
 }
 
 // held returns the tokens whose KV values the running sequences hold.
