--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -151,6 +152,7 @@
 		status, data = http.StatusInternalServerError, []byte(`{}`)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	w.WriteHeader(status)
 	_, _ = w.Write(data)
 }
