Release sent request bodies and drain finished streams

Cause: an open stream kept its whole request body, because net/http refers to the request until the end of the answer. A late end after the end marker would also have counted as a silent failure, and Close in another goroutine raced with Next.

Change: request bodies drop their bytes once they are sent. The drain after the end marker has its own bound that counts nothing, a closed answer is reported as ended by its caller, and the end flag is atomic.

--- a/internal/engine/faults_test.go
+++ b/internal/engine/faults_test.go
@@ -258,6 +258,18 @@
 	})
 }
 
+// TestCloseStream guards against a reader that hangs when another goroutine
+// closes its stream.
+func TestCloseStream(t *testing.T) {
+	run(t, standin.EngineOptions{}, func(t *testing.T, f *fixture) {
+		answer, err := f.client.Do(t.Context(), f.call(true, 1000, "x"))
+		must.NoError(t, err)
+		time.AfterFunc(time.Second, func() { answer.Stream.Close() })
+		_, err = text(answer.Stream)
+		must.EqOp(t, fault.KindDeadline, fault.KindOf(err))
+	})
+}
+
 // TestHeaders guards against a header of a caller, above all a key, that reaches
 // an engine.
 func TestHeaders(t *testing.T) {
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -35,11 +35,7 @@
 		return nil, c.errorf(NotSent, fault.KindInternal, "use letters, digits and . _ -", "got an invalid attempt identifier")
 	}
 	u := c.base.JoinPath(r.path)
-	var body io.Reader
-	if r.body != nil {
-		body = bytes.NewReader(r.body)
-	}
-	req, err := http.NewRequestWithContext(pool.WithBounds(ctx, r.bounds), r.method, u.String(), body)
+	req, err := http.NewRequestWithContext(pool.WithBounds(ctx, r.bounds), r.method, u.String(), nil)
 	if err != nil {
 		return nil, c.errorf(NotSent, fault.KindInternal, "correct the address in the manifest", "has no valid address")
 	}
@@ -50,6 +46,7 @@
 	req.Header.Set(headerRequestID, r.id)
 	req.Header.Set("User-Agent", "jasminesaddle")
 	if r.body != nil {
+		req.Body, req.ContentLength = &requestBody{data: r.body}, int64(len(r.body))
 		req.Header.Set("Content-Type", "application/json")
 	}
 	transport := c.transport
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,9 +11,12 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 )
 
-// drainBound bounds the wait for the end of a stream's body after its end
+// drainBound and drainBytes bound the wait for the end of a stream's body after its end
 // marker. Only a body that is read to its end leaves its connection usable.
-const drainBound = 50 * time.Millisecond
+const (
+	drainBound = 50 * time.Millisecond
+	drainBytes = 1024
+)
 
 // Stream is the event stream of one attempt. Next is called by one goroutine at
 // a time; Close may be called by another.
@@ -25,7 +29,7 @@
 	// resumed allows events up to last to come again before the first new one.
 	resumed bool
 	events  int
-	done    bool
+	done    atomic.Bool
 	err     error
 
 	close sync.Once
@@ -55,7 +59,7 @@
 }
 
 func (s *Stream) next() (Event, error) {
-	if s.done {
+	if s.done.Load() {
 		return Event{}, io.EOF
 	}
 	for {
@@ -80,7 +84,7 @@
 		}
 		s.resumed = false
 		s.last = raw.id
-		s.done = done
+		s.done.Store(done)
 		return Event{Seq: raw.id, Data: raw.data, Done: done}, nil
 	}
 }
@@ -122,18 +126,15 @@
 func (s *Stream) Close() error {
 	var err error
 	s.close.Do(func() {
-		if s.done {
-			s.drain()
+		if b, ok := s.body.(drainer); ok && s.done.Load() {
+			b.Drain(drainBytes, drainBound)
 		}
 		err = s.body.Close()
 	})
 	return err
 }
 
-// drain reads the few bytes between the end marker and the end of the body.
-func (s *Stream) drain() {
-	if b, ok := s.body.(interface{ SetGap(time.Duration) }); ok {
-		b.SetGap(drainBound)
-		_, _ = io.CopyN(io.Discard, s.dec.r, 1024)
-	}
+// drainer reads the few bytes between the end marker and the end of the body.
+type drainer interface {
+	Drain(limit int64, bound time.Duration)
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -267,6 +267,8 @@
 		must.NoError(t, err)
 		must.EqOp(t, "first last", string(whole))
 		stream.Body.Close()
+		time.Sleep(16 * time.Second) // the idle bound is 15 s
+		must.EqOp(t, 0, set.server("b").conns.Load(), must.Sprint("connections of a replaced transport stay open"))
 	})
 }
 
@@ -368,6 +370,21 @@
 		must.EqOp(t, fault.KindBackendSilent, fault.KindOf(err))
 		must.EqOp(t, 2*time.Second, time.Since(began))
 		resp.Body.Close()
+		must.Len(t, 1, set.server("b").silent)
+
+		// An answer that is closed by its reader is no silent failure.
+		resp, err = s.get(t, set.Transport("b"), "/stream")
+		must.NoError(t, err)
+		began = time.Now()
+		resp.Body.(*body).Drain(1024, 50*time.Millisecond)
+		must.EqOp(t, 50*time.Millisecond, time.Since(began))
+		resp.Body.Close()
+		resp, err = s.get(t, set.Transport("b"), "/stream")
+		must.NoError(t, err)
+		time.AfterFunc(time.Second, func() { resp.Body.Close() })
+		_, err = io.ReadAll(resp.Body)
+		must.EqOp(t, fault.KindDeadline, fault.KindOf(err))
+		must.Len(t, 1, set.server("b").silent)
 		close(s.release)
 	})
 }
--- a/internal/pool/roundtrip.go
+++ b/internal/pool/roundtrip.go
@@ -152,6 +152,9 @@
 			"backend server "+c.server.name+" became silent during its answer", "try again later")
 	case c.parent.Err() != nil:
 		e.fault = c.cancelled()
+	case errors.Is(context.Cause(c.ctx), errClosed):
+		e.fault = fault.Wrap(errClosed, fault.KindDeadline,
+			"the answer of backend server "+c.server.name+" was closed by its caller", "read the answer to its end")
 	default:
 		e.fault = fault.Wrap(err, fault.KindBackendFailed,
 			"the answer of backend server "+c.server.name+" was cut", "check the backend server")
@@ -162,13 +165,11 @@
 
 // body bounds the silence between the bytes of an answer.
 type body struct {
-	call  *call
-	inner io.ReadCloser
-	timer *time.Timer
-	once  sync.Once
-
-	mu  sync.Mutex
-	gap time.Duration
+	call   *call
+	inner  io.ReadCloser
+	gap    time.Duration
+	timer  *time.Timer
+	silent sync.Once
 }
 
 func newBody(c *call, inner io.ReadCloser, gap time.Duration) *body {
@@ -178,20 +179,10 @@
 	return b
 }
 
-// SetGap changes the bound from the next read on.
-func (b *body) SetGap(gap time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.gap = gap
-}
-
 // Read runs the timer only while it waits, so that a slow reader does not make
 // the backend server look silent.
 func (b *body) Read(p []byte) (int, error) {
-	b.mu.Lock()
-	gap := b.gap
-	b.mu.Unlock()
-	b.timer.Reset(gap)
+	b.timer.Reset(b.gap)
 	n, err := b.inner.Read(p)
 	b.timer.Stop()
 	if err == nil || err == io.EOF {
@@ -199,13 +190,24 @@
 	}
 	cut := b.call.cut(err)
 	if cut.Silent {
-		b.once.Do(func() { b.call.server.reportSilent(b.call.gen) })
+		b.silent.Do(func() { b.call.server.reportSilent(b.call.gen) })
 	}
 	return n, cut
 }
 
+// Drain reads at most limit bytes, for at most the bound, up to the end of an
+// answer whose content is already complete. Only an answer that is read to its
+// end leaves its connection usable. A late end is no silent failure.
+func (b *body) Drain(limit int64, bound time.Duration) {
+	t := time.AfterFunc(bound, func() { b.call.cancel(errClosed) })
+	defer t.Stop()
+	_, _ = io.CopyN(io.Discard, b.inner, limit)
+}
+
 func (b *body) Close() error {
 	b.timer.Stop()
+	// The cause is set first, so that a concurrent Read reports it.
+	b.call.cancel(errClosed)
 	err := b.inner.Close()
 	b.call.end()
 	return err
