--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -94,6 +94,7 @@
 		got, err := text(streamed.Stream)
 		must.NoError(t, err)
 		must.EqOp(t, standin.Answer("a:1", "hello", 4), got)
+		synctest.Wait()
 		must.EqOp(t, 1, f.engine.State().Conns, must.Sprint("a finished stream leaves its connection usable"))
 		must.EqOp(t, 1, f.engine.Executions("attempt-1"))
 		must.EqOp(t, 1, f.engine.Executions("attempt-2"))
