Bound whole control calls and shorten the idle time of connections

Cause: an answer that comes byte by byte passed the bounds on silence of probe, scrape and cancel. Two equal bounds on a probe gave either of two kinds. Idle connections were kept for 15 s, although 5 s is a common bound of servers.

Change: whole calls have a bound of three silences, orders end with their context, and connections are idle for at most 4 s. The stand-in names requests that come without an identifier.

Conclusion: calls to an engine end in bounded time whatever it sends.

--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -37,7 +37,7 @@
 		e := standin.NewEngine(opts)
 		defer e.Close()
 		go func() { _ = e.Serve(l) }()
-		pools := pool.NewSet(pool.Options{Dial: l.DialContext})
+		pools := pool.NewSet(pool.Options{Dial: l.DialContext, Idle: time.Minute})
 		defer pools.Close()
 		c := engine.New(&apiv1.BackendServer{Name: "e1", Address: "http://192.0.2.1:8000", BaseModel: "base"}, pools)
 		must.NoError(t, c.Load(t.Context(), engine.Order{Ref: refA, Weights: "w/a/1", Fence: 1}))
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -59,9 +59,11 @@
 	maxIDBytes      = 128
 )
 
-// Bounds on calls that have none of their own.
+// Bounds on the response header and on each silence of calls that have none of
+// their own. Three times as much bounds the whole call, so that an answer that
+// comes byte by byte ends as well.
 const (
-	probeTimeout  = 2 * time.Second
+	probeTimeout  = time.Second
 	scrapeTimeout = 2 * time.Second
 	cancelTimeout = 2 * time.Second
 	orderTimeout  = 30 * time.Second
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -112,6 +111,8 @@
 	if !validName(attemptID) {
 		return c.errorf(NotSent, fault.KindInternal, "use letters, digits and . _ -", "got an invalid attempt identifier")
 	}
+	ctx, cancel := context.WithTimeout(ctx, 3*cancelTimeout)
+	defer cancel()
 	status, _, err := c.exchange(ctx, request{
 		method: http.MethodDelete, path: pathStreams + url.PathEscape(attemptID), id: newID("cancel-"),
 		bounds: pool.Bounds{FirstByte: cancelTimeout, Gap: cancelTimeout},
@@ -139,14 +140,10 @@
 	if err != nil {
 		return c.errorf(NotSent, fault.KindInternal, "report this fault", "order cannot be encoded")
 	}
-	bound := orderTimeout
-	if until, ok := ctx.Deadline(); ok {
-		bound = min(bound, max(time.Millisecond, time.Until(until)))
-	}
 	status, _, err := c.exchange(ctx, request{
 		method: http.MethodPost, path: path, id: newID("order-"), body: body,
 		header: http.Header{headerFence: {formatUint(o.Fence)}},
-		bounds: pool.Bounds{FirstByte: bound, Gap: bound},
+		bounds: pool.Bounds{FirstByte: orderTimeout, Gap: orderTimeout},
 	}, maxOrderBytes)
 	if err != nil {
 		return err
@@ -184,7 +181,7 @@
 // returns its start identity. An open connection to an earlier run would hide a
 // restart, and a silent one would hide a healthy engine.
 func (c *Client) Probe(ctx context.Context) (string, error) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 3*probeTimeout)
 	defer cancel()
 	bounds := pool.Bounds{FirstByte: probeTimeout, Gap: probeTimeout}
 	status, _, err := c.exchange(ctx, request{
--- a/internal/engine/scrape.go
+++ b/internal/engine/scrape.go
@@ -35,6 +35,8 @@
 // first: when the engine restarts in between, the residency of the new run is
 // attributed to the old one until the next scrape, and never the reverse.
 func (c *Client) Scrape(ctx context.Context) (Load, error) {
+	ctx, cancel := context.WithTimeout(ctx, 3*scrapeTimeout)
+	defer cancel()
 	bounds := pool.Bounds{FirstByte: scrapeTimeout, Gap: scrapeTimeout}
 	load, err := c.metrics(ctx, bounds, false)
 	if err != nil {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -24,9 +24,10 @@
 	// Gap bounds the silence between bytes of an answer, unless the call's
 	// Bounds say otherwise; default 10 s.
 	Gap time.Duration
-	// Idle closes connections without a request; default 15 s. It has to be
-	// shorter than the backend servers' own bound, because a request that meets
-	// a connection while the other side closes it has an unknown outcome.
+	// Idle closes connections without a request; default 4 s. It has to be
+	// shorter than the backend servers' own bound, for which 5 s is common,
+	// because a request that meets a connection while the other side closes it
+	// has an unknown outcome.
 	Idle time.Duration
 	// KeepAlive is the period of TCP keep-alive probes; default 5 s.
 	KeepAlive time.Duration
@@ -62,7 +63,7 @@
 	o.Connect = orDefault(o.Connect, time.Second)
 	o.FirstByte = orDefault(o.FirstByte, time.Minute)
 	o.Gap = orDefault(o.Gap, 10*time.Second)
-	o.Idle = orDefault(o.Idle, 15*time.Second)
+	o.Idle = orDefault(o.Idle, 4*time.Second)
 	o.KeepAlive = orDefault(o.KeepAlive, 5*time.Second)
 	o.Probe = orDefault(o.Probe, time.Second)
 	o.SilentLimit = orDefault(o.SilentLimit, 2)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -267,7 +267,7 @@
 		must.NoError(t, err)
 		must.EqOp(t, "first last", string(whole))
 		stream.Body.Close()
-		time.Sleep(16 * time.Second) // the idle bound is 15 s
+		time.Sleep(5 * time.Second) // the idle bound is 4 s
 		must.EqOp(t, 0, set.server("b").conns.Load(), must.Sprint("connections of a replaced transport stay open"))
 	})
 }
--- a/internal/standin/complete.go
+++ b/internal/standin/complete.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -34,6 +35,9 @@
 		return
 	}
 	id := r.Header.Get("X-Request-Id")
+	if id == "" {
+		id = "unnamed-" + rand.Text()
+	}
 	e.execute(id, r.Header.Get("Idempotency-Key"))
 	if marker := e.get().CrashMarker; marker != "" && bytes.Contains(body, []byte(marker)) {
 		e.release(a)
