Add tests of the entry host's failure cases and fix what they found

Cause: a retry that ran out of time answered deadline_exceeded as not run although an earlier attempt may have run; a stream whose every resume had a gap was resumed for ever; Run could wait on a WaitGroup while handlers added to it. Change: the run state of an earlier attempt outlives a later refusal; resumes without an event between them are bounded; background tasks have a counter that may be waited for while it grows.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -33,14 +33,17 @@
 
 // attempts runs the request until an attempt succeeds or its failure is final.
 func (s *Server) attempts(ctx context.Context, w *work, call *modelCall) error {
+	var earlier error
 	for n := 1; ; n++ {
 		v, err := s.attempt(ctx, w, call, n)
+		err = truthful(err, earlier)
 		if err == nil || v == final || w.x.started || n >= s.limits.Attempts {
 			return err
 		}
-		if v == retryable && !s.budget.Take(s.now()) {
+		if s.firstByteLeft(w) <= 0 || (v == retryable && !s.budget.Take(s.now())) {
 			return err
 		}
+		earlier = err
 		step := stepRetry
 		if v == reroute {
 			step = stepReroute
@@ -50,11 +53,30 @@
 		}
 		s.decide(w.x, step, string(fault.KindOf(err)), n)
 		if err := s.requeue(ctx, w); err != nil {
-			return err
+			return truthful(err, earlier)
 		}
 	}
 }
 
+// truthful returns the error that a request ends with after an earlier attempt
+// failed. A later attempt that did not run says nothing about the earlier one.
+func truthful(err, earlier error) error {
+	if err == nil || earlier == nil || runOf(err) != fault.NotRun || runOf(earlier) == fault.NotRun {
+		return err
+	}
+	e, ok := fault.As(err)
+	if ok && (e.Kind == fault.KindKeyWithdrawn || e.Kind == fault.KindStaleView) {
+		copied := *e
+		return copied.WithRun(runOf(earlier))
+	}
+	return earlier
+}
+
+// firstByteLeft returns what is left of the time to the first byte.
+func (s *Server) firstByteLeft(w *work) time.Duration {
+	return s.firstByte(w) - s.now().Sub(w.x.received)
+}
+
 // attempt is one attempt on the engine that the request has a share of.
 type attempt struct {
 	w      *work
@@ -70,7 +92,7 @@
 		return reroute, fault.New(fault.KindNoBackend, "the engine left the configuration", "send the request again").
 			WithRun(fault.NotRun)
 	}
-	left := s.firstByte(w) - s.now().Sub(w.x.received)
+	left := s.firstByteLeft(w)
 	if left <= 0 {
 		return final, fault.New(fault.KindDeadline, "the time to the first byte is used up", "send the request again").
 			WithRun(fault.NotRun)
@@ -220,7 +242,7 @@
 	if sh == nil {
 		return
 	}
-	s.later(func() {
+	s.background.run(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTime)
 		defer cancel()
 		if err := a.client.Cancel(ctx, a.id); err != nil {
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -78,7 +78,7 @@
 	if open > 0 {
 		out = append(out, fmt.Sprintf("%d requests before their route is known", open))
 	}
-	if n := s.background.Load(); n > 0 {
+	if n := s.background.running(); n > 0 {
 		out = append(out, fmt.Sprintf("%d cancellations and call records", n))
 	}
 	return out
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,6 +60,13 @@
 	return now.Sub(v.synced)
 }
 
+// freeze lets the view age from now on.
+func (v *fakeView) freeze() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.synced = time.Now()
+}
+
 func (v *fakeView) Changed() <-chan struct{} {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -146,24 +154,24 @@
 // fleet is an entry host with stand-in engines and a plain service over
 // in-memory connections on a fake clock.
 type fleet struct {
-	t        *testing.T
-	s        *Server
-	view     *fakeView
-	calls    *fakeCalls
-	engines  map[string]*standin.Engine
-	clients  map[string]*engine.Client
-	service  *standin.Service
-	pools    *pool.Set
-	account  *rate.Account
-	caller   *http.Client
-	log      bytes.Buffer
-	logMu    sync.Mutex
-	refuse   map[string]bool // addresses whose dials fail
-	dialMu   sync.Mutex
-	version  uint64
-	report   bool // reports run by themselves
-	granted  uint64
-	requests int
+	t       *testing.T
+	s       *Server
+	view    *fakeView
+	calls   *fakeCalls
+	engines map[string]*standin.Engine
+	clients map[string]*engine.Client
+	service *standin.Service
+	pools   *pool.Set
+	account *rate.Account
+	caller  *http.Client
+	log     bytes.Buffer
+	logMu   sync.Mutex
+	refuse  map[string]bool // addresses whose dials fail
+	dialMu  sync.Mutex
+	version uint64
+	applyMu sync.Mutex
+	silent  atomic.Bool // no reports run by themselves
+	lender  *rate.Lender
 }
 
 // options change a fleet before it starts.
@@ -175,6 +183,8 @@
 	pool    pool.Options
 	// slots gives the adapters of each engine; nil loads a:1, a:2 and b:1.
 	slots map[string][]string
+	// rate is the rate of team red; 0 means plenty.
+	rate uint64
 }
 
 func hashOf(key string) string {
@@ -186,7 +196,7 @@
 
 func address(i int) string { return "http://192.0.2." + string(rune('0'+i)) + ":8000" }
 
-func manifest(engines, maxBatch int) *apiv1.Manifest {
+func manifest(engines, maxBatch int, rate uint64) *apiv1.Manifest {
 	m := &apiv1.Manifest{
 		Cluster:    "c",
 		BaseModels: []*apiv1.BaseModel{{Name: "base"}},
@@ -199,8 +209,8 @@
 				Versions: []*apiv1.AdapterVersion{{Version: "1", Weights: "w/cold/1"}}},
 		},
 		Teams: []*apiv1.Team{
-			{Name: "red", Rate: &apiv1.Rate{TokensPerSecond: 1000, BurstTokens: 100_000}},
-			{Name: "blue", Rate: &apiv1.Rate{TokensPerSecond: 1000, BurstTokens: 100_000}, MaxConcurrent: 2},
+			{Name: "red", Rate: &apiv1.Rate{TokensPerSecond: rate, BurstTokens: rate}},
+			{Name: "blue", Rate: &apiv1.Rate{TokensPerSecond: 100_000, BurstTokens: 100_000}, MaxConcurrent: 2},
 		},
 		Keys: []*apiv1.Key{{Id: "r", Team: "red", Sha256: hashOf(keyRed)}, {Id: "b", Team: "blue", Sha256: hashOf(keyBlue)}},
 		Routes: []*apiv1.Route{
@@ -236,32 +246,39 @@
 		wg.Go(func() { _ = server.Serve(front) })
 		f.caller = &http.Client{Transport: &http.Transport{DialContext: front.DialContext, DisableCompression: true}}
 		wg.Go(func() { f.background(ctx) })
+		defer func() {
+			f.caller.CloseIdleConnections()
+			_ = server.Close()
+			cancel()
+			wg.Wait()
+			f.pools.Close()
+			for _, e := range f.engines {
+				e.Close()
+			}
+			f.service.Close()
+		}()
 		f.sync()
+		time.Sleep(3 * time.Second) // a new lender waits for grants of its predecessor
 		test(f)
+		time.Sleep(cancelTime + time.Second) // cancellations of silent engines
 		synctest.Wait()
 		f.settle()
-		f.caller.CloseIdleConnections()
-		_ = server.Close()
-		cancel()
-		wg.Wait()
-		f.pools.Close()
-		for _, e := range f.engines {
-			e.Close()
-		}
-		f.service.Close()
 	})
 }
 
 func newFleet(t *testing.T, o options) *fleet {
-	if o.engines == 0 {
-		o.engines = 1
+	o.engines = max(o.engines, 1)
+	if o.rate == 0 {
+		o.rate = 100_000
 	}
 	f := &fleet{
-		t: t, engines: map[string]*standin.Engine{}, clients: map[string]*engine.Client{}, report: true,
+		t: t, engines: map[string]*standin.Engine{}, clients: map[string]*engine.Client{},
 		calls:   &fakeCalls{records: map[string]*apiv1.BeginCall{}, done: map[string]*apiv1.FinishCall{}},
-		view:    &fakeView{cfg: config.FromManifest(manifest(o.engines, 16), 1), changed: make(chan struct{})},
-		account: rate.NewAccount("h", 1), refuse: map[string]bool{}, granted: 10_000,
+		view:    &fakeView{cfg: config.FromManifest(manifest(o.engines, 16, o.rate), 1), changed: make(chan struct{})},
+		account: rate.NewAccount("h", 1), refuse: map[string]bool{},
+		lender: rate.NewLender(1, time.Now()),
 	}
+	f.lender.SetTeams(f.view.cfg.Teams(), time.Now())
 	listeners := map[string]*standin.PipeListener{}
 	listen := func(addr string) net.Listener {
 		l := standin.NewPipeListener()
@@ -275,6 +292,7 @@
 		if refused {
 			return nil, errors.New("connection refused")
 		}
+		time.Sleep(time.Millisecond)
 		return listeners[addr].DialContext(ctx, network, addr)
 	}
 	f.pools = pool.NewSet(o.pool)
@@ -319,31 +337,35 @@
 func (f *fleet) background(ctx context.Context) {
 	for sleep(ctx, 250*time.Millisecond) {
 		f.grant()
-		if f.report {
+		if !f.silent.Load() {
 			f.sync()
 		}
 	}
 }
 
+// mute ends the reports that run by themselves, also one that has begun.
+func (f *fleet) mute() {
+	f.silent.Store(true)
+	synctest.Wait()
+}
+
 func (f *fleet) grant() {
 	sent := time.Now()
+	f.lender.Tick(sent)
 	req := f.account.Request(sent)
-	resp := &apiv1.BorrowResponse{Term: 1, Sequence: req.GetSequence()}
-	for _, team := range []string{"red", "blue"} {
-		resp.Grants = append(resp.Grants, &apiv1.TeamGrant{Team: team, Granted: f.granted, ValidMs: 2000, RetryAfterMs: 1000})
-	}
-	f.account.Apply(req, resp, sent)
+	f.account.Apply(req, f.lender.Borrow(req, sent), sent)
 }
 
 // sync reports and applies a full answer from the engines' own state.
 func (f *fleet) sync() {
-	f.grant()
 	f.s.Report()
 	f.apply(nil)
 }
 
 // apply applies a full fleet table in which change may change engines.
 func (f *fleet) apply(change func(*apiv1.ReportResponse)) {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
 	f.version++
 	resp := &apiv1.ReportResponse{Term: 1, FleetVersion: f.version, Full: true}
 	for _, b := range f.view.Config().Pool("llm") {
@@ -364,7 +386,7 @@
 // settle checks that every counter is back at zero.
 func (f *fleet) settle() {
 	f.t.Helper()
-	must.Eq(f.t, 0, f.s.background.Load())
+	must.Eq(f.t, 0, f.s.background.running())
 	must.Eq(f.t, 0, f.s.running.count)
 	must.Eq(f.t, 0, f.s.admitted.total)
 	must.MapEmpty(f.t, f.s.admitted.teams)
@@ -385,6 +407,7 @@
 type reply struct {
 	status int
 	header http.Header
+	closed bool
 	body   string
 	err    error
 }
@@ -409,7 +432,7 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+	return reply{status: resp.StatusCode, closed: resp.Close, header: resp.Header, body: string(body), err: err}
 }
 
 func (f *fleet) post(path, key, body string) reply {
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -87,7 +87,7 @@
 			return resp, nil
 		}
 		if !sleep(bounded, recordGap) {
-			s.later(func() { s.release(call) })
+			s.background.run(func() { s.release(call) })
 			if ctx.Err() != nil {
 				return nil, ended(ctx, fault.NotRun)
 			}
@@ -250,7 +250,7 @@
 	}
 	k.body, k.whole = body, true
 	recorded := make(chan struct{})
-	s.later(func() {
+	s.background.run(func() {
 		defer close(recorded)
 		s.keepAnswer(ctx, begin, k)
 	})
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -34,10 +34,9 @@
 	drain    drainState
 	clients  clients
 	crashes  crashes
-	// background counts the cancellations and call records that outlive their
+	// background runs the cancellations and call records that outlive their
 	// request.
-	background     atomic.Int64
-	backgroundDone sync.WaitGroup
+	background tasks
 
 	// mu guards dispatch: the fleet table, the queues and the in-flight counts
 	// change together, so that a report never names a fleet version that a
@@ -57,6 +56,7 @@
 	s.budget = retry.NewBudget(retry.Defaults())
 	s.admitted.teams = map[string]int{}
 	s.running.byKey = map[runningKey]map[*flight]struct{}{}
+	s.background.init()
 	s.clients.byName = map[string]*client{}
 	s.crashes.init()
 	s.d = newDispatch(s)
@@ -67,7 +67,7 @@
 // Run runs the systems that depend on time until ctx ends, and then waits for
 // the releases and cancellations that are still under way.
 func (s *Server) Run(ctx context.Context) error {
-	defer s.backgroundDone.Wait()
+	defer s.background.wait()
 	ticker := time.NewTicker(s.limits.Tick)
 	defer ticker.Stop()
 	changed := s.opts.View.Changed()
@@ -163,15 +163,6 @@
 	}
 }
 
-// later runs f after its request has ended. Run waits for it.
-func (s *Server) later(f func()) {
-	s.background.Add(1)
-	s.backgroundDone.Go(func() {
-		defer s.background.Add(-1)
-		f()
-	})
-}
-
 // retain drops the clients of backend servers that the configuration no longer
 // names and returns their names.
 func (c *clients) retain(cfg *config.Snapshot) []string {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -101,16 +101,18 @@
 	if err := s.admit(ctx, w); err != nil {
 		return err
 	}
+	var earlier error
 	for n := 1; ; n++ {
-		err := s.serviceAttempt(ctx, w, call, n)
-		if err == nil || x.started || n >= s.limits.Attempts || !retryableService(err) || !s.budget.Take(s.now()) {
+		err := truthful(s.serviceAttempt(ctx, w, call, n), earlier)
+		if err == nil || s.firstByteLeft(w) <= 0 || x.started || n >= s.limits.Attempts || !retryableService(err) || !s.budget.Take(s.now()) {
 			return err
 		}
+		earlier = err
 		s.metrics.retries.Add(1)
 		s.decide(x, stepRetry, string(fault.KindOf(err)), n)
 		w.excluded = append(w.excluded, w.share.server)
 		if err := s.requeue(ctx, w); err != nil {
-			return err
+			return truthful(err, earlier)
 		}
 	}
 }
@@ -129,7 +131,7 @@
 		return fault.New(fault.KindNoBackend, "the backend server left the configuration", "send the request again").
 			WithRun(fault.NotRun)
 	}
-	left := s.firstByte(w) - s.now().Sub(w.x.received)
+	left := s.firstByteLeft(w)
 	if left <= 0 {
 		return fault.New(fault.KindDeadline, "the time to the first byte is used up", "send the request again").
 			WithRun(fault.NotRun)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -10,7 +10,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/openai"
 )
 
-// resumeTries bounds the tries to resume a stream after each cut.
+// resumeTries bounds the tries to resume a stream since its last event.
 const resumeTries = 3
 
 // stream passes the events of one engine stream on to the caller.
@@ -20,6 +20,7 @@
 	control *http.ResponseController
 	// last is the sequence number of the last event passed on.
 	last     uint64
+	resumes  int // since the last event
 	tokens   uint64
 	buf      []byte
 	deadline time.Time
@@ -67,6 +68,7 @@
 		x.begin(http.StatusOK)
 	}
 	st.last = ev.Seq
+	st.resumes = 0
 	if total, ok := openai.Usage(ev.Data); ok && total > st.a.call.promptTokens {
 		st.tokens = total - st.a.call.promptTokens
 	} else if !ev.Done {
@@ -105,8 +107,8 @@
 		s.report(a.share.server, false)
 		return final, s.endStream(st, backendFailed(cause, "the engine crashed while it ran the request", fault.OutcomeUnknown))
 	}
-	for try := range resumeTries {
-		if try > 0 && !sleep(ctx, time.Duration(try)*100*time.Millisecond) {
+	for ; st.resumes < resumeTries; st.resumes++ {
+		if st.resumes > 0 && !sleep(ctx, time.Duration(st.resumes)*100*time.Millisecond) {
 			break
 		}
 		next, err := a.client.Resume(ctx, a.id, st.last, s.limits.StreamGap)
@@ -114,7 +116,8 @@
 			_ = st.events.Close()
 			st.events = next
 			s.metrics.resumes.Add(1)
-			s.decide(a.w.x, stepResume, string(fault.KindOf(cause)), try+1)
+			st.resumes++
+			s.decide(a.w.x, stepResume, string(fault.KindOf(cause)), st.resumes)
 			return final, nil
 		}
 		cause = err
--- /dev/null
+++ b/internal/entry/stream_test.go
@@ -0,0 +1,266 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/pool"
+	"github.com/jasminesaddle/jasminesaddle/internal/standin"
+)
+
+// open starts a stream and reads its first event.
+func (f *fleet) open(ctx context.Context, path, key, model string, n int) (*http.Response, *bufio.Reader) {
+	resp, err := f.caller.Do(f.request(ctx, "POST", path, key, completion(model, "hello", n, true)))
+	must.NoError(f.t, err)
+	must.Eq(f.t, 200, resp.StatusCode)
+	r := bufio.NewReader(resp.Body)
+	line, err := r.ReadString('\n')
+	must.NoError(f.t, err)
+	must.Eq(f.t, "id: 1\n", line)
+	return resp, r
+}
+
+// rest reads a stream that open started to its end.
+func rest(t *testing.T, resp *http.Response, r io.Reader) string {
+	t.Helper()
+	defer resp.Body.Close()
+	body, err := io.ReadAll(r)
+	must.NoError(t, err)
+	return "id: 1\n" + string(body)
+}
+
+// A cut stream must go on without gap or repeat, and one that cannot go on must
+// say so and must not end with the end marker.
+func TestCutStreams(t *testing.T) {
+	for name, tc := range map[string]struct {
+		faults standin.Faults
+		window time.Duration
+		whole  bool
+		kind   string
+	}{
+		"resumed":          {faults: standin.Faults{CutStreams: 1, CutAfter: 3}, whole: true},
+		"resumed twice":    {faults: standin.Faults{CutStreams: 2, CutAfter: 3}, whole: true},
+		"repeat at resume": {faults: standin.Faults{CutStreams: 1, CutAfter: 3, RepeatOnResume: 1}, whole: true},
+		"gap at resume":    {faults: standin.Faults{CutStreams: 1, CutAfter: 3, SkipOnResume: 1}, whole: true},
+		"gap at each":      {faults: standin.Faults{CutStreams: 1, CutAfter: 3, SkipOnResume: -1}, kind: "stream_cut"},
+		"not kept":         {faults: standin.Faults{CutStreams: 1, CutAfter: 3}, window: time.Nanosecond, kind: "stream_cut"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, options{engine: standin.EngineOptions{ResumeWindow: tc.window}}, func(f *fleet) {
+				f.engines["e0"].SetFaults(tc.faults)
+				r := f.post("/v1/completions", keyRed, completion("a:1", "hello", 20, true))
+				must.Eq(t, 200, r.status)
+				text, whole := textOf(t, r.body)
+				must.Eq(t, tc.whole, whole)
+				must.StrHasPrefix(t, text, standin.Answer("a:1", "hello", 20))
+				if whole {
+					must.Eq(t, standin.Answer("a:1", "hello", 20), text)
+					return
+				}
+				must.StrContains(t, r.body, `"code":"`+tc.kind+`"`)
+				must.StrContains(t, r.body, `"run":"run"`)
+				must.StrNotContains(t, r.body, "[DONE]")
+			})
+		})
+	}
+}
+
+// A withdrawn key, or a host that cannot tell whether the key is valid, must end
+// running streams within seconds and with the truth; open routes go on.
+func TestRunningStreamsEnd(t *testing.T) {
+	for name, tc := range map[string]struct {
+		path, key string
+		cause     func(f *fleet)
+		within    time.Duration
+		kind      string
+	}{
+		"key withdrawn": {"/v1/completions", keyRed, func(f *fleet) {
+			f.view.change(&apiv1.Op{Op: &apiv1.Op_DeleteKey{DeleteKey: "r"}})
+		}, time.Second, "key_withdrawn"},
+		"team deleted": {"/v1/completions", keyRed, func(f *fleet) {
+			f.view.change(&apiv1.Op{Op: &apiv1.Op_DeleteTeam{DeleteTeam: "red"}})
+		}, time.Second, "key_withdrawn"},
+		"other key withdrawn": {"/v1/completions", keyRed, func(f *fleet) {
+			f.view.change(&apiv1.Op{Op: &apiv1.Op_DeleteKey{DeleteKey: "b"}})
+		}, time.Minute, ""},
+		"view old": {"/v1/completions", keyRed, func(f *fleet) { f.view.freeze() }, 8500 * time.Millisecond, "stale_view"},
+		"view old, open route": {"/open/v1/completions", "", func(f *fleet) { f.view.freeze() },
+			time.Minute, ""},
+		"control leader silent": {"/open/v1/completions", "", func(f *fleet) { f.mute() }, 8500 * time.Millisecond, "stale_view"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, options{}, func(f *fleet) {
+				resp, r := f.open(f.t.Context(), tc.path, tc.key, "a:1", 1000)
+				synctest.Wait()
+				start := time.Now()
+				tc.cause(f)
+				body := rest(t, resp, r)
+				must.Less(t, tc.within, time.Since(start))
+				_, whole := textOf(t, body)
+				must.Eq(t, tc.kind == "", whole)
+				if tc.kind != "" {
+					must.StrContains(t, body, `"code":"`+tc.kind+`"`)
+					must.StrNotContains(t, body, "[DONE]")
+					time.Sleep(100 * time.Millisecond) // the stand-in's next step
+					must.Zero(t, f.engines["e0"].State().Running, must.Sprint("the engine still runs the request"))
+				}
+			})
+		})
+	}
+}
+
+// Each request on a kept-alive connection must be checked anew.
+func TestKeyWithdrawnOnKeptConnection(t *testing.T) {
+	run(t, options{}, func(f *fleet) {
+		body := completion("a", "x", 2, false)
+		must.Eq(t, 200, f.post("/v1/completions", keyRed, body).status)
+		f.view.change(&apiv1.Op{Op: &apiv1.Op_DeleteKey{DeleteKey: "r"}})
+		must.Eq(t, 401, f.post("/v1/completions", keyRed, body).status)
+		must.Eq(t, 200, f.post("/v1/completions", keyBlue, body).status)
+	})
+}
+
+// A host whose view is older than 4 s must refuse keyed routes and serve open
+// ones.
+func TestStaleView(t *testing.T) {
+	run(t, options{}, func(f *fleet) {
+		body := completion("a", "x", 2, false)
+		f.view.freeze()
+		time.Sleep(3900 * time.Millisecond)
+		must.Eq(t, 200, f.post("/v1/completions", keyRed, body).status)
+		time.Sleep(200 * time.Millisecond)
+		for _, path := range []string{"/v1/completions", "/files/x", "/pay/x"} {
+			r := f.post(path, keyRed, body)
+			must.Eq(t, 503, r.status)
+			must.Eq(t, "stale_view", r.reason())
+			must.Eq(t, "not_run", r.run())
+			must.NotEq(t, "", r.header.Get("Retry-After"))
+		}
+		must.Eq(t, 200, f.post("/open/v1/completions", "", body).status)
+	})
+}
+
+// A caller that goes away must not leave its request running on the engine.
+func TestCallerGone(t *testing.T) {
+	run(t, options{}, func(f *fleet) {
+		for _, stream := range []bool{true, false} {
+			ctx, cancel := context.WithCancel(f.t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				f.do(f.request(ctx, "POST", "/v1/completions", keyRed, completion("a:1", "x", 1000, stream)))
+			}()
+			time.Sleep(time.Second)
+			must.Eq(t, 1, f.engines["e0"].State().Running)
+			cancel()
+			<-done
+			time.Sleep(100 * time.Millisecond)
+			must.Zero(t, f.engines["e0"].State().Running)
+			synctest.Wait()
+			f.settle()
+		}
+	})
+}
+
+// A connection that falls silent must not hold a request for ever: a whole
+// answer is retried on another engine, and a stream is resumed on a new
+// connection.
+func TestSilentEngine(t *testing.T) {
+	o := options{engines: 2, limits: Limits{InteractiveFirstByte: 20 * time.Second, StreamGap: 3 * time.Second}, pool: pool.Options{Gap: 3 * time.Second}}
+	run(t, o, func(f *fleet) {
+		resp, r := f.open(f.t.Context(), "/v1/completions", keyRed, "a:1", 50)
+		for _, e := range f.engines {
+			e.Silence()
+		}
+		start := time.Now()
+		text, whole := textOf(t, rest(t, resp, r))
+		must.True(t, whole)
+		must.Eq(t, standin.Answer("a:1", "hello", 50), text)
+		must.Less(t, 5*time.Second, time.Since(start))
+	})
+	o.limits.InteractiveFirstByte = 0
+	run(t, o, func(f *fleet) {
+		f.view.change(&apiv1.Op{Op: &apiv1.Op_PutRoute{PutRoute: &apiv1.Route{Name: "v1", Path: "/v1",
+			Kind: apiv1.RouteKind_ROUTE_KIND_MODEL, Pool: "llm", TimeoutMs: 4000}}})
+		for _, e := range f.engines {
+			e.SetFaults(standin.Faults{Hang: -1})
+		}
+		r := f.post("/v1/completions", keyRed, completion("a:1", "x", 2, false))
+		must.Eq(t, 504, r.status, must.Sprint(r.body))
+		must.Eq(t, "outcome_unknown", r.run())
+		synctest.Wait()
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// An answer with another request's identifier must never reach a caller.
+func TestCrossedAnswers(t *testing.T) {
+	for name, faults := range map[string]standin.Faults{
+		"crossed": {CrossAnswers: 2}, "no echo": {NoEcho: 1}, "wrong echo": {WrongEcho: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, options{}, func(f *fleet) {
+				f.engines["e0"].SetFaults(faults)
+				prompts := []string{"one", "two"}
+				replies := make([]reply, len(prompts))
+				done := make(chan struct{})
+				for i, prompt := range prompts {
+					go func() {
+						replies[i] = f.post("/v1/completions", keyRed, completion("a:1", prompt, 5, false))
+						done <- struct{}{}
+					}()
+				}
+				refused := 0
+				for range prompts {
+					<-done
+				}
+				for i, r := range replies {
+					if r.status == 200 {
+						text, _ := textOf(t, r.body)
+						must.Eq(t, standin.Answer("a:1", prompts[i], 5), text)
+						continue
+					}
+					refused++
+					must.Eq(t, "answer_mismatch", r.reason())
+					must.Eq(t, "outcome_unknown", r.run())
+				}
+				must.Positive(t, refused)
+			})
+		})
+	}
+}
+
+// No backend server may see a caller's key, whatever way it was sent.
+func TestKeyNeverForwarded(t *testing.T) {
+	run(t, options{}, func(f *fleet) {
+		f.engines["e0"].Watch(keyRed)
+		f.service.Watch(keyRed)
+		must.Eq(t, 200, f.post("/v1/completions?api_key="+keyRed, keyRed, completion("a", "x", 2, false)).status)
+		for _, path := range []string{"/files/x?token=" + keyRed + "&a=1", "/pay/x?q=" + keyRed, "/files/" + keyRed} {
+			req := f.request(f.t.Context(), "POST", path, "", "body")
+			req.Header.Set("X-Api-Key", keyRed)
+			req.Header.Set("X-Copy", "Bearer "+keyRed)
+			req.Header.Set("Idempotency-Key", "k"+path[:4])
+			r := f.do(req)
+			if strings.HasSuffix(path, keyRed) && !strings.Contains(path, "?") {
+				must.Eq(t, 400, r.status)
+				continue
+			}
+			must.Eq(t, 200, r.status, must.Sprint(r.body))
+		}
+		must.SliceEmpty(t, f.engines["e0"].Leaks())
+		must.SliceEmpty(t, f.service.Leaks())
+		f.logMu.Lock()
+		must.StrNotContains(t, f.log.String(), keyRed)
+		f.logMu.Unlock()
+	})
+}
--- /dev/null
+++ b/internal/entry/tasks.go
@@ -0,0 +1,46 @@
+package entry
+
+import "sync"
+
+// tasks runs functions that outlive the request that started them. Unlike a
+// sync.WaitGroup it may be waited for while further tasks start.
+type tasks struct {
+	mu    sync.Mutex
+	idle  *sync.Cond
+	count int
+}
+
+func (t *tasks) init() { t.idle = sync.NewCond(&t.mu) }
+
+func (t *tasks) run(f func()) {
+	t.mu.Lock()
+	t.count++
+	t.mu.Unlock()
+	go func() {
+		defer t.end()
+		f()
+	}()
+}
+
+func (t *tasks) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.count--; t.count == 0 {
+		t.idle.Broadcast()
+	}
+}
+
+func (t *tasks) running() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.count
+}
+
+// wait returns when no task runs.
+func (t *tasks) wait() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for t.count > 0 {
+		t.idle.Wait()
+	}
+}
