--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -242,7 +242,7 @@
 	}
 	add := &ffcli.Command{
 		Name:       "add",
-		ShortUsage: "jasminectl members add HOST=URL@FAILURE-DOMAIN/DISK=DISK-ID",
+		ShortUsage: "jasminectl members add HOST=URL@FAILURE-DOMAIN[/DISK=DISK-ID]",
 		ShortHelp:  "Add a control host; it votes once it has caught up.",
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) != 1 {
@@ -271,11 +271,10 @@
 	return group("members", "List and change the control hosts.", list, add, remove)
 }
 
+// parseNewMember reads HOST=URL@FAILURE-DOMAIN, with /DISK=DISK-ID behind it
+// where the host's present disk identity must be a certain one.
 func parseNewMember(text string) (*apiv1.Member, error) {
-	spec, disk, ok := strings.Cut(text, "/DISK=")
-	if !ok || disk == "" {
-		return nil, usage("write the member as HOST=URL@FAILURE-DOMAIN/DISK=DISK-ID; the new host logs its disk identity at start")
-	}
+	spec, disk, _ := strings.Cut(text, "/DISK=")
 	members, err := settings.ParseMembers("member", spec)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/session/forward_test.go
@@ -0,0 +1,191 @@
+package session
+
+import (
+	"context"
+	"flag"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/load"
+)
+
+const (
+	healthInterval = 50 * time.Millisecond
+	healthTimeout  = time.Second
+	dialTimeout    = time.Second
+)
+
+// loadRun is the load command.
+func loadRun(ctx context.Context, args []string) error {
+	return load.Command(ctx, args, os.Stdout)
+}
+
+// forwarder passes TCP connections on to one of several addresses. With a
+// health path it stands for the platform's balancer: it sends connections only
+// where the health check succeeds. POST /silent to its control address makes
+// what is open silent for good, POST /refuse refuses new connections and breaks
+// the open ones, and POST /pass ends both.
+type forwarder struct {
+	to      []string
+	healthy []atomic.Bool
+	next    atomic.Uint64
+
+	mu     sync.Mutex
+	refuse bool
+	conns  map[*link]bool
+}
+
+// link is one forwarded connection. A silent link passes nothing on.
+type link struct {
+	client, server net.Conn
+	silent         atomic.Bool
+}
+
+func forward(ctx context.Context, args []string) error {
+	fs := flag.NewFlagSet("forward", flag.ContinueOnError)
+	listen := fs.String("listen", "", "address")
+	to := fs.String("to", "", "addresses to forward to, separated by commas")
+	health := fs.String("health", "", "path of the health check; none when empty")
+	control := fs.String("control", "", "address of the control interface")
+	if err := fs.Parse(args); err != nil {
+		return err
+	}
+	f := &forwarder{to: strings.Split(*to, ","), conns: map[*link]bool{}}
+	f.healthy = make([]atomic.Bool, len(f.to))
+	for i := range f.to {
+		f.healthy[i].Store(*health == "")
+		if *health != "" {
+			go f.check(ctx, i, "http://"+f.to[i]+*health)
+		}
+	}
+	if *control != "" {
+		srv := &http.Server{Addr: *control, Handler: http.HandlerFunc(f.serveControl)}
+		go func() { _ = srv.ListenAndServe() }()
+	}
+	l, err := net.Listen("tcp", *listen)
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, func() { _ = l.Close() })
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return nil
+		}
+		go f.serve(c)
+	}
+}
+
+func (f *forwarder) check(ctx context.Context, i int, url string) {
+	client := &http.Client{Timeout: healthTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	for ctx.Err() == nil {
+		resp, err := client.Get(url)
+		f.healthy[i].Store(err == nil && resp.StatusCode == http.StatusOK)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		time.Sleep(healthInterval)
+	}
+}
+
+func (f *forwarder) serveControl(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch r.URL.Path {
+	case "/silent":
+		for l := range f.conns {
+			l.silent.Store(true)
+		}
+	case "/refuse":
+		f.refuse = true
+		for l := range f.conns {
+			l.close()
+		}
+	case "/pass":
+		f.refuse = false
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// target returns a healthy address, in turn.
+func (f *forwarder) target() string {
+	first := f.next.Add(1)
+	for i := range uint64(len(f.to)) {
+		n := (first + i) % uint64(len(f.to))
+		if f.healthy[n].Load() {
+			return f.to[n]
+		}
+	}
+	return ""
+}
+
+func (f *forwarder) serve(c net.Conn) {
+	defer c.Close()
+	to := f.target()
+	if to == "" {
+		return
+	}
+	s, err := net.DialTimeout("tcp", to, dialTimeout)
+	if err != nil {
+		return
+	}
+	l := &link{client: c, server: s}
+	if !f.add(l) {
+		l.close()
+		return
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { l.copy(s, c) })
+	wg.Go(func() { l.copy(c, s) })
+	wg.Wait()
+	f.mu.Lock()
+	delete(f.conns, l)
+	f.mu.Unlock()
+}
+
+func (f *forwarder) add(l *link) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refuse {
+		return false
+	}
+	f.conns[l] = true
+	return true
+}
+
+// copy passes bytes on until either side ends. A silent link reads and drops.
+func (l *link) copy(to, from net.Conn) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 && !l.silent.Load() {
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				err = werr
+			}
+		}
+		if err == io.EOF && !l.silent.Load() {
+			if tcp, ok := to.(*net.TCPConn); ok {
+				_ = tcp.CloseWrite()
+				return
+			}
+		}
+		if err != nil {
+			if !l.silent.Load() {
+				l.close()
+			}
+			return
+		}
+	}
+}
+
+func (l *link) close() {
+	_ = l.client.Close()
+	_ = l.server.Close()
+}
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -33,7 +33,9 @@
 		"jasminectl":      func() { program.Main(commands.Operator) },
 		"standin-engine":  func() { program.Main(commands.StandinEngine) },
 		"standin-service": func() { program.Main(commands.StandinService) },
+		"jasmine-load":    func() { program.Main(loadRun) },
 		"call":            func() { program.Main(call) },
+		"forward":         func() { program.Main(forward) },
 	})
 }
 
@@ -46,8 +48,19 @@
 			"expand":     expand,
 			"eventually": eventually,
 			"normalize":  normalize,
+			"start":      start,
+			"signal":     signal,
+			"ended":      ended,
+			"fleet":      fleet,
+			"control":    control,
+			"entry":      entry,
+			"leader":     leader,
 		},
 		Setup: func(env *testscript.Env) error {
+			all := processes{}
+			env.Values[processesKey{}] = all
+			env.Defer(all.killAll)
+			env.Setenv("BIN", strings.Split(env.Getenv("PATH"), string(os.PathListSeparator))[0])
 			env.Setenv("JASMINE_CLUSTER", "golden")
 			env.Setenv("HASH_NORTH", manifest.HashText("jsk_north_0123456789abcdef"))
 			env.Setenv("HASH_SOUTH", manifest.HashText("jsk_south_0123456789abcdef"))
@@ -100,6 +113,29 @@
 	}
 }
 
+// leader sets LEADER to the name of the leading control host, LEADER_DISK to
+// its disk identity, and FOLLOWER to another control host.
+func leader(ts *testscript.TestScript, _ bool, _ []string) {
+	eventually(ts, false, []string{`leader=true`, "jasminectl", "status"})
+	number := func(host string) string { return strings.TrimPrefix(host, "c") }
+	for _, line := range strings.Split(ts.ReadFile("stdout"), "\n") {
+		fields := strings.Fields(line)
+		if len(fields) < 2 || fields[0] != "member" {
+			continue
+		}
+		if !strings.Contains(line, "leader=true") {
+			ts.Setenv("FOLLOWER", fields[1])
+			ts.Setenv("FOLLOWER_N", number(fields[1]))
+			ts.Setenv("FOLLOWER_DISK", strings.TrimPrefix(fields[len(fields)-1], "disk="))
+			continue
+		}
+		ts.Setenv("LEADER", fields[1])
+		ts.Setenv("LEADER_N", number(fields[1]))
+		ts.Setenv("LEADER_URL", "http://"+ts.Getenv("C"+number(fields[1])))
+		ts.Setenv("LEADER_DISK", strings.TrimPrefix(fields[len(fields)-1], "disk="))
+	}
+}
+
 // normalizers replace what differs from run to run. The order of lines stays.
 var normalizers = []struct {
 	pattern *regexp.Regexp
