Load replicas of overloaded adapters ahead of rare ones

Cause: replicas came after everything that waits, and something always waits for the weight store. The most popular adapter of the largest team stayed on one engine although its arrivals exceed what one engine serves.

Change: from 3 arrivals/s or 8 running requests per replica on, another replica competes with the waiting requests by urgency.

--- a/internal/placement/loads.go
+++ b/internal/placement/loads.go
@@ -13,8 +13,9 @@
 	reason string
 }
 
-// wanted returns the loads in the order of service: first what waits, by
-// fairness between teams, then replicas and refills by demand.
+// wanted returns the loads in the order of service: first what waits and the
+// replicas of overloaded adapters, by fairness between teams, then refills by
+// demand. The requests of an overloaded adapter wait as well, at its engine.
 func (p *Planner) wanted() []want {
 	var waiting, ahead []want
 	for i := range p.x.refs {
@@ -28,8 +29,8 @@
 			waiting = append(waiting, want{i, urgency(r.demand), ReasonWaiting})
 		case replicas == 0 && r.draining == 0 && r.demand.Arrivals >= p.opts.RefillArrivals:
 			ahead = append(ahead, want{i, r.demand.Arrivals, ReasonRefill})
-		case replicas > 0 && replicas < p.replicas(r):
-			ahead = append(ahead, want{i, r.demand.Arrivals / float64(replicas+1), ReasonReplica})
+		case replicas > 0 && r.loading == 0 && replicas < p.replicas(r):
+			waiting = append(waiting, want{i, r.demand.Arrivals / float64(replicas), ReasonReplica})
 		}
 	}
 	p.sortWants(waiting)
@@ -45,6 +46,9 @@
 // replicas returns how many replicas the demand needs.
 func (p *Planner) replicas(r *refState) int {
 	n := int(math.Ceil(r.demand.Arrivals / p.opts.ReplicaArrivals))
+	if r.inFlight > p.opts.ReplicaInFlight*r.ready {
+		n = max(n, r.ready+1)
+	}
 	return min(n, p.opts.MaxReplicas)
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -129,6 +129,9 @@
 	Hysteresis float64
 	// ReplicaArrivals is the number of requests per second that one replica takes.
 	ReplicaArrivals float64
+	// ReplicaInFlight is the number of running requests per replica beyond which
+	// another one is loaded.
+	ReplicaInFlight int
 	// MaxReplicas bounds the replicas of one adapter version.
 	MaxReplicas int
 	// RefillArrivals is the demand below which nothing is loaded in advance.
@@ -151,7 +154,8 @@
 	o.Spare = max(cmp.Or(o.Spare, 4), 0)
 	o.MinResidence = cmp.Or(o.MinResidence, 4*time.Second)
 	o.Hysteresis = cmp.Or(o.Hysteresis, 2)
-	o.ReplicaArrivals = cmp.Or(o.ReplicaArrivals, 4)
+	o.ReplicaArrivals = cmp.Or(o.ReplicaArrivals, 3)
+	o.ReplicaInFlight = cmp.Or(o.ReplicaInFlight, 8)
 	o.MaxReplicas = cmp.Or(o.MaxReplicas, 64)
 	o.RefillArrivals = cmp.Or(o.RefillArrivals, 0.05)
 	o.Backoff = cmp.Or(o.Backoff, time.Second)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -80,6 +80,8 @@
 		"backoff on all engines":          {Snapshot{Engines: []Engine{engine("e1"), engine("e2"), engine("e3")}, Demand: []Demand{waits("a", "t", 1, 0)}, Failures: []Failure{{ref("a"), "e1", epoch, 3}, {ref("a"), "e2", epoch, 1}}}, ""},
 		"retry after the backoff":         {Snapshot{Engines: []Engine{engine("e1")}, Demand: []Demand{waits("a", "t", 1, 0)}, Failures: []Failure{{ref("a"), "e1", epoch.Add(-second), 1}}}, "load a@e1"},
 		"replica in another domain":       {Snapshot{Engines: []Engine{engine("e1", "a"), engine("e2"), engine("e3")}, Demand: []Demand{arrives("a", "t", 6)}}, "load a@e2"},
+		"hot adapter goes before a tail":  {Snapshot{Engines: []Engine{engine("e1", "a"), loadingOf("e2", "z"), engine("e3")}, Demand: []Demand{arrives("a", "t", 6), waits("b", "t", 1, second), arrives("z", "t", 1)}}, "load a@e3"},
+		"replica by running requests":     {Snapshot{Engines: []Engine{hotEngine(), engine("e2")}, Demand: []Demand{arrives("a", "t", 1)}}, "load a@e2"},
 		"refill in order of demand":       {Snapshot{Engines: []Engine{engine("e1"), engine("e2")}, Demand: []Demand{arrives("a", "t", 0.2), arrives("b", "t", 0.4)}}, "load b@e1, load a@e2"},
 		"hysteresis without waiting":      {Snapshot{Engines: []Engine{engine("e1", "x", "y")}, Demand: []Demand{arrives("a", "t", 1), arrives("x", "t", 0.9), arrives("y", "t", 0.9)}}, ""},
 		"old version goes when unused":    {Snapshot{Engines: []Engine{old}, Demand: []Demand{{Ref: Ref{"a", "2"}, Arrivals: 1}}}, "drain a@e1"},
@@ -103,6 +105,12 @@
 	return e
 }
 
+func hotEngine() Engine {
+	e := engine("e1", "a")
+	e.Residents[0].InFlight = 9
+	return e
+}
+
 func busyEngine() Engine {
 	e := engine("e1", "x", "y")
 	e.Residents[0].InFlight, e.Residents[1].InFlight = 1, 1
