Order loads by the requests that they serve

Cause: the order of loads multiplied waiting requests by their age. While more adapters are asked for than the weight store loads, old single requests went before younger groups, and a part of them expired anyway.

Change: a load counts for the requests that wait and for 10 s of expected arrivals. Replicas are ordered on the same scale.

--- a/internal/placement/drains.go
+++ b/internal/placement/drains.go
@@ -61,7 +61,7 @@
 		return p.longestWait(missing) >= p.opts.BusyWait
 	}
 	for _, w := range missing {
-		if w.reason == ReasonWaiting || w.score > p.opts.Hysteresis*v.value {
+		if w.reason == ReasonWaiting || w.value > p.opts.Hysteresis*v.value {
 			return true
 		}
 	}
--- a/internal/placement/loads.go
+++ b/internal/placement/loads.go
@@ -8,8 +8,9 @@
 
 // want is one load that the planner would like to start.
 type want struct {
-	ref    int // position in index.refs
-	score  float64
+	ref    int     // position in index.refs
+	score  float64 // order of service
+	value  float64 // arrivals per second that the slot would serve
 	reason string
 }
 
@@ -24,13 +25,14 @@
 			continue
 		}
 		replicas := r.ready + r.loading
+		value := r.demand.Arrivals / float64(replicas+1)
 		switch {
 		case replicas == 0 && r.demand.Waiting > 0:
-			waiting = append(waiting, want{i, urgency(r.demand), ReasonWaiting})
+			waiting = append(waiting, want{i, urgency(r.demand), value, ReasonWaiting})
 		case replicas == 0 && r.draining == 0 && r.demand.Arrivals >= p.opts.RefillArrivals:
-			ahead = append(ahead, want{i, r.demand.Arrivals, ReasonRefill})
+			ahead = append(ahead, want{i, value, value, ReasonRefill})
 		case replicas > 0 && r.loading == 0 && replicas < p.replicas(r):
-			waiting = append(waiting, want{i, r.demand.Arrivals / float64(replicas), ReasonReplica})
+			waiting = append(waiting, want{i, value * expectedSeconds, value, ReasonReplica})
 		}
 	}
 	p.sortWants(waiting)
@@ -38,11 +40,17 @@
 	return append(p.fairOrder(waiting), ahead...)
 }
 
-// urgency weighs how many requests a load releases by how long they wait.
+// urgency is the number of requests that a load serves: those that wait and those
+// expected while the adapter version stays. Age does not count: while more
+// adapters are asked for than the weight store loads, old requests first means
+// that each one is served just before its deadline or just after.
 func urgency(d *Demand) float64 {
-	return float64(d.Waiting) * (0.5 + d.OldestWait.Seconds())
+	return float64(d.Waiting) + d.Arrivals*expectedSeconds
 }
 
+// expectedSeconds of arrivals count as much as waiting requests.
+const expectedSeconds = 10
+
 // replicas returns how many replicas the demand needs.
 func (p *Planner) replicas(r *refState) int {
 	n := int(math.Ceil(r.demand.Arrivals / p.opts.ReplicaArrivals))
