Count loads against their team for 20 seconds

Cause: the worst-served team is one of the two smallest. The planner interleaves teams by their loads of the last 5 s, which are about 15 for 5 teams, so that a team is not preferred for long after it had none.

Change: FairnessWindow is 20 s by default.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -162,7 +162,7 @@
 	o.MaxBackoff = cmp.Or(o.MaxBackoff, time.Minute)
 	o.BusyWait = cmp.Or(o.BusyWait, 2*time.Second)
 	o.SupersededIdle = cmp.Or(o.SupersededIdle, 10*time.Second)
-	o.FairnessWindow = cmp.Or(o.FairnessWindow, 5*time.Second)
+	o.FairnessWindow = cmp.Or(o.FairnessWindow, 20*time.Second)
 	return o
 }
 
