Report no load demand for a team that lacks tokens

Cause: the team that sends several times its rate got a quarter of all loads, for requests of which most are refused for lack of tokens later.

Change: the driver's host leaves out the waiting groups of a team that lacks tokens for requests that are ready. The stall measure leaves out requests that were rightly refused, since their wait is not the fleet's.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -4,8 +4,8 @@
 //
 // The measures are taken over the requests that arrive after the warm-up.
 //
-//   - Load stalls: the mean time, over all measured requests that were not
-//     refused for their rate, during which a request waited while its adapter
+//   - Load stalls: the mean time, over all measured requests except those that
+//     were rightly refused, during which a request waited while its adapter
 //     version was not ready on any engine. A shared load stalls each waiting
 //     request.
 //   - Batch efficiency: tokens generated per second of engine time with running
--- a/internal/bench/host.go
+++ b/internal/bench/host.go
@@ -106,6 +106,8 @@
 	}
 }
 
+func teamIndex(name string) int { return int(name[len(name)-1] - '0') }
+
 func engineIndex(name string) int {
 	n := 0
 	for _, c := range name[len("engine-"):] {
@@ -180,7 +182,7 @@
 	var out []waitingGroup
 	for _, g := range h.queue.Groups() {
 		ref := placement.Ref{Adapter: g.Group, Version: "1"}
-		if len(h.view.ready[ref]) == 0 {
+		if len(h.view.ready[ref]) == 0 && h.lacking[teamIndex(h.w.teamOf(ref))] == 0 {
 			out = append(out, waitingGroup{ref, h.w.teamOf(ref), g.Waiting, g.Oldest})
 		}
 	}
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -160,7 +160,7 @@
 			continue
 		}
 		res.Requests++
-		if r.outcome != refusedRate && r.outcome != refusedFull {
+		if r.wrongful || r.outcome == served || r.outcome == failed {
 			stalls = append(stalls, float64(r.stall)/1e6)
 		}
 		switch r.outcome {
