Expose all execution counts of the stand-ins

Cause: GET /standin/state had only the highest counts, so that a test in another process could not tell which call ran twice.

Change: the state lists repeated identifiers and keys, and all counts with ?full=1. The bound on connections is tested over replaced transports. Error text of invalid reports is plainer.

Conclusion: "at most once" can be checked from outside the process.

--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -197,7 +197,7 @@
 	return load.StartID, err
 }
 
-// errOf is used by the stream to tell an error of the pool from one of its own.
+// isPoolError tells an error of the transport from one of the event decoder.
 func isPoolError(err error) bool {
 	var p *pool.Error
 	return errors.As(err, &p)
--- a/internal/engine/scrape.go
+++ b/internal/engine/scrape.go
@@ -53,13 +53,13 @@
 	}
 	load.Adapters, err = parseModels(data, c.baseModel)
 	if err != nil {
-		return Load{}, c.nonsense(pathModels, err)
+		return Load{}, c.invalidReport(pathModels, err)
 	}
 	return load, nil
 }
 
-func (c *Client) nonsense(path string, err error) error {
-	return c.errorf(Answered, fault.KindBackendFailed, remedyEngine, "reports nonsense in %s: %v", path, err)
+func (c *Client) invalidReport(path string, err error) error {
+	return c.errorf(Answered, fault.KindBackendFailed, remedyEngine, "reported invalid data in %s: %v", path, err)
 }
 
 func (c *Client) metrics(ctx context.Context, bounds pool.Bounds, fresh bool) (Load, error) {
@@ -74,7 +74,7 @@
 	}
 	load, err := parseMetrics(bytes.NewReader(data))
 	if err != nil {
-		return Load{}, c.nonsense(pathMetrics, err)
+		return Load{}, c.invalidReport(pathMetrics, err)
 	}
 	return load, nil
 }
--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -60,7 +60,7 @@
 	return c.pending > 0 || c.written > base
 }
 
-// Attempt records how far one request got on the wire.
+// Attempt records how far one request got on the wire. It is not used again.
 type Attempt struct {
 	mu    sync.Mutex
 	used  []usedConn
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -348,6 +348,17 @@
 			synctest.Wait()
 			must.EqOp(t, 0, set.server("b").conns.Load())
 		}
+		// Streams of replaced transports count as well.
+		for range 3 {
+			for range 2 {
+				_, _ = s.get(t, rt, "/stream")
+			}
+			set.ReportSilent("b")
+			set.ReportSilent("b")
+		}
+		_, err := s.get(t, rt, "/x")
+		must.EqOp(t, fault.KindOverloaded, fault.KindOf(err))
+		must.EqOp(t, 4, set.server("b").conns.Load())
 		close(s.release)
 	})
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -206,7 +206,9 @@
 	mux.HandleFunc("GET /metrics", e.metrics)
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	control := http.NewServeMux()
-	control.HandleFunc("GET /standin/state", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.State()) })
+	control.HandleFunc("GET /standin/state", func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, http.StatusOK, e.state(r.URL.Query().Has("full")))
+	})
 	control.HandleFunc("POST /standin/faults", func(w http.ResponseWriter, r *http.Request) { e.handle(w, r, e) })
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, "/standin/") {
@@ -249,11 +251,13 @@
 
 // State returns what the engine has done so far. Steps and tokens are those of
 // the present run.
-func (e *Engine) State() EngineState {
+func (e *Engine) State() EngineState { return e.state(false) }
+
+func (e *Engine) state(full bool) EngineState {
 	r := e.present()
 	st := EngineState{
 		Name: e.opts.Name, StartID: e.StartID(), Conns: e.openConns(),
-		Faults: e.get(), Record: e.record(), At: time.Now(),
+		Faults: e.get(), Record: e.record(full), At: time.Now(),
 	}
 	st.Running, st.Waiting = r.batch.counts()
 	st.Steps, st.Tokens = r.batch.work()
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -10,6 +11,7 @@
 const (
 	maxRecorded     = 200_000
 	maxHeaderValues = 32
+	maxRepeated     = 1000
 )
 
 // recorder counts executions and remembers the headers that arrived.
@@ -97,6 +99,11 @@
 	// and one Idempotency-Key.
 	MaxPerRequest int `json:"max_per_request"`
 	MaxPerKey     int `json:"max_per_key"`
+	// Repeated are the first identifiers and keys that ran more than once.
+	Repeated map[string]int `json:"repeated,omitempty"`
+	// ByRequest and ByKey are all counts; GET /standin/state?full=1 has them.
+	ByRequest map[string]int `json:"by_request,omitempty"`
+	ByKey     map[string]int `json:"by_key,omitempty"`
 	// Headers are the header names with their first distinct values.
 	Headers map[string]map[string]int `json:"headers"`
 	// Leaks tells where watched values arrived.
@@ -105,7 +112,7 @@
 	Truncated bool `json:"truncated,omitempty"`
 }
 
-func (r *recorder) record() Record {
+func (r *recorder) record(full bool) Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := Record{
@@ -113,11 +120,18 @@
 		Headers: map[string]map[string]int{}, Leaks: append([]string(nil), r.leaks...), Truncated: r.truncated,
 	}
 	for name, values := range r.headers {
-		copied := make(map[string]int, len(values))
-		for v, n := range values {
-			copied[v] = n
+		out.Headers[name] = maps.Clone(values)
+	}
+	out.Repeated = map[string]int{}
+	for _, m := range []map[string]int{r.byRequest, r.byKey} {
+		for id, n := range m {
+			if n > 1 && len(out.Repeated) < maxRepeated {
+				out.Repeated[id] = n
+			}
 		}
-		out.Headers[name] = copied
+	}
+	if full {
+		out.ByRequest, out.ByKey = maps.Clone(r.byRequest), maps.Clone(r.byKey)
 	}
 	return out
 }
@@ -152,4 +166,4 @@
 }
 
 // Leaks tells where watched values arrived.
-func (r *recorder) Leaks() []string { return r.record().Leaks }
+func (r *recorder) Leaks() []string { return r.record(false).Leaks }
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -83,7 +83,9 @@
 // Handler serves every path.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /standin/state", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.State()) })
+	mux.HandleFunc("GET /standin/state", func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, http.StatusOK, s.state(r.URL.Query().Has("full")))
+	})
 	mux.HandleFunc("POST /standin/faults", func(w http.ResponseWriter, r *http.Request) { s.handle(w, r, s) })
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/", s.call)
@@ -191,8 +193,10 @@
 }
 
 // State returns what the service has done so far.
-func (s *Service) State() ServiceState {
-	st := ServiceState{Name: s.opts.Name, Conns: s.openConns(), Faults: s.get(), Record: s.record()}
+func (s *Service) State() ServiceState { return s.state(false) }
+
+func (s *Service) state(full bool) ServiceState {
+	st := ServiceState{Name: s.opts.Name, Conns: s.openConns(), Faults: s.get(), Record: s.record(full)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st.Restarts = s.restarts
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -214,6 +214,13 @@
 				must.EqOp(t, tc.took, time.Since(began))
 				must.EqOp(t, tc.executions, svc.ExecutionsByKey("k"))
 				must.MapLen(t, tc.executions, svc.Bodies("k"))
+				svc.SetFaults(Faults{})
+				_, _ = s.do("POST", "/pay", "other body", "Idempotency-Key", "k")
+				_, text := s.do("GET", "/standin/state?full=1", "")
+				var st ServiceState
+				must.NoError(t, json.Unmarshal([]byte(text), &st))
+				must.Eq(t, map[string]int{"k": tc.executions + 1}, st.Record.ByKey)
+				must.EqOp(t, tc.executions, st.Conflicting)
 			})
 		})
 	}
