Estimate a host's demand for tokens by a mean over one second

Cause: the estimate followed a rise at once. One request of 550 tokens within 250 ms made a host hold tokens for 2,200 tokens/s, three times the rate of the smallest team, and each host did so in turn.

Change: the estimate is a mean with a time constant of 1 s, of which 0.8 s are held in advance.

--- a/internal/rate/purse.go
+++ b/internal/rate/purse.go
@@ -122,25 +122,22 @@
 	p.payDebt()
 }
 
-// estimate updates the demand per second. It follows a rise at once and a fall
-// slowly, since a missing token delays a request and a spare one can be returned.
+// estimate updates the demand per second, with a time constant of 1 s. A single
+// large request of a small team must not look like a high rate, or each host
+// would hold a part of a burst that is worth a few requests only.
 func (p *purse) estimate(interval time.Duration) {
 	if interval <= 0 {
 		return
 	}
 	now := float64(p.taken) / interval.Seconds()
-	if now > p.demand {
-		p.demand = now
-	} else {
-		p.demand += (now - p.demand) * min(1, interval.Seconds())
-	}
+	p.demand += (now - p.demand) * min(1, interval.Seconds())
 	p.taken = 0
 }
 
 const (
-	// targetSeconds of demand are held in advance. Borrow runs every 250 ms; more
-	// would lie idle at this host while another one lacks it.
-	targetSeconds = 0.35
+	// targetSeconds of the mean demand are held in advance. Requests beyond it
+	// wait for one Borrow; more would lie idle while another host lacks it.
+	targetSeconds = 0.8
 	// keepRatio is how much more than the target a host keeps.
 	keepRatio = 1.25
 )
