Let the planner alone decide whether an engine is full

The dispatch had its own bound on a full engine, the planner has another since it was merged, and a request between the two bounds left the queue and was refused. Change: the queue's readiness is the planner's choice itself. A pump costs nothing when nothing changed. A retry is not tried when no other backend server could take it. Conclusion: no request leaves the queue without a place.

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -181,6 +181,9 @@
 	w.ticket = ticket
 	w.state = workQueued
 	d.setWaiting(w, true)
+	if !d.blocked.has(w.group()) {
+		d.blocked.changed = true
+	}
 	return nil
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -40,7 +40,7 @@
 		if err == nil || v == final || w.x.started || n >= s.limits.Attempts {
 			return err
 		}
-		if s.firstByteLeft(w) <= 0 || (v == retryable && !s.budget.Take(s.now())) {
+		if s.firstByteLeft(w) <= 0 || (v == retryable && (!s.hasOther(w) || !s.budget.Take(s.now()))) {
 			return err
 		}
 		earlier = err
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -241,3 +242,54 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc + m.StackInuse)
 }
+
+// BenchmarkDispatch starts and ends one request while others wait for adapters
+// that no engine has. "asked again" forgets which groups wait in vain.
+func BenchmarkDispatch(b *testing.B) {
+	for _, waiting := range []int{0, 100, 1000} {
+		for name, forget := range map[string]bool{"remembered": false, "asked again": true} {
+			b.Run(fmt.Sprintf("%d waiting/%s", waiting, name), func(b *testing.B) {
+				s, now := waitingServer(waiting)
+				x := &exchange{id: "x", cfg: s.d.cfg}
+				ref := &apiv1.AdapterRef{Adapter: "a", Version: "2"}
+				b.ReportAllocs()
+				for b.Loop() {
+					w := &work{x: x, pool: "llm", model: "a:2", ref: ref, baseModel: "base", cost: 10, granted: make(chan struct{}, 1)}
+					w.deadline = now.Add(time.Hour)
+					s.mu.Lock()
+					if forget {
+						s.d.blocked.clear()
+					}
+					_ = s.d.submit(w, now)
+					s.d.pump(now)
+					s.mu.Unlock()
+					if w.share == nil {
+						b.Fatal("not started")
+					}
+					s.finish(w)
+				}
+			})
+		}
+	}
+}
+
+// waitingServer returns a server without connections on which requests wait.
+func waitingServer(waiting int) (*Server, time.Time) {
+	now := time.Now()
+	view := &fakeView{cfg: config.FromManifest(manifest(9, 64, 1_000_000), 1), changed: make(chan struct{})}
+	s := New(Options{Host: "h", View: view, Account: rate.NewAccount("h", 1), Now: func() time.Time { return now }})
+	resp := &apiv1.ReportResponse{Term: 1, FleetVersion: 1, Full: true}
+	for i := range 9 {
+		resp.Engines = append(resp.Engines, &apiv1.EngineStatus{Name: fmt.Sprint("e", i), Healthy: true, Slots: []*apiv1.Slot{
+			{Ref: &apiv1.AdapterRef{Adapter: "a", Version: "2"}, State: apiv1.SlotState_SLOT_STATE_READY}}})
+	}
+	s.ApplyFleet(resp, now)
+	for i := range waiting {
+		ref := &apiv1.AdapterRef{Adapter: fmt.Sprint("cold", i), Version: "1"}
+		w := &work{x: &exchange{cfg: s.d.cfg}, pool: "llm", model: modelName(ref), ref: ref, baseModel: "base", granted: make(chan struct{}, 1)}
+		w.deadline = now.Add(time.Hour)
+		_ = s.d.submit(w, now)
+	}
+	s.d.pump(now)
+	return s, now
+}
--- a/internal/entry/candidates.go
+++ b/internal/entry/candidates.go
@@ -65,9 +65,6 @@
 	if load := d.inFlight[name]; load != nil {
 		c.Own, c.Suspects = load.total, load.suspects
 	}
-	if w.suspect && c.Suspects > 0 {
-		return none, false
-	}
 	if row, ok := d.table.engines.Get(name); ok {
 		if !row.usable() {
 			return none, false
@@ -75,9 +72,6 @@
 		c.Running, c.Queued = int(row.status.GetRunning()), int(row.status.GetQueued())
 		c.ReportAge = row.loadAge(now)
 	}
-	if d.isFull(c) {
-		return none, false
-	}
 	if w.ref != nil && len(d.missing) > 0 {
 		if until, ok := d.missing[missingKey{name, w.model}]; ok && now.Before(until) {
 			return none, false
@@ -89,6 +83,20 @@
 	return c, true
 }
 
+// hasOther reports whether a backend server that the request was not tried on
+// could serve it. Without one, a retry would only wait for its deadline.
+func (s *Server) hasOther(w *work) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w.ref != nil {
+		names, _ := s.d.table.ready.Get(w.model)
+		return slices.ContainsFunc(names, func(name string) bool { return !slices.Contains(w.excluded, name) })
+	}
+	return slices.ContainsFunc(s.d.cfg.Pool(w.pool), func(b *apiv1.BackendServer) bool {
+		return !b.GetLeaving() && s.d.serves(w, b) && !slices.Contains(w.excluded, b.GetName())
+	})
+}
+
 func (d *dispatch) serves(w *work, b *apiv1.BackendServer) bool {
 	if w.model == "" {
 		return b.GetKind() == apiv1.BackendKind_BACKEND_KIND_SERVICE
@@ -96,22 +104,13 @@
 	return b.GetKind() == apiv1.BackendKind_BACKEND_KIND_ENGINE && b.GetBaseModel() == w.baseModel
 }
 
-// isFull reports whether the backend server has as much work as it can batch
-// plus a quarter. Work beyond that would wait in the engine's own queue, where
-// the fair order between teams is lost; the quarter keeps the batch full while
-// the next request is on its way.
-func (d *dispatch) isFull(c routing.Candidate) bool {
-	if c.MaxBatch == 0 {
-		return false
-	}
-	return max(c.Own, c.Running+c.Queued) >= c.MaxBatch+(c.MaxBatch+3)/4
-}
-
 // blockedGroups remembers which groups of waiting requests found no candidate,
 // so that they are asked again only after a change that concerns them.
 type blockedGroups struct {
 	groups     map[string]struct{}
 	byResource map[string][]string
+	// changed is true when a group may have become ready since the last pump.
+	changed bool
 }
 
 func (b *blockedGroups) init() {
@@ -137,6 +136,7 @@
 	}
 	for _, group := range b.byResource[resource] {
 		delete(b.groups, group)
+		b.changed = true
 	}
 	delete(b.byResource, resource)
 }
@@ -144,6 +144,7 @@
 func (b *blockedGroups) clear() {
 	clear(b.groups)
 	clear(b.byResource)
+	b.changed = true
 }
 
 // pace estimates how many tokens per second the host dispatches, over the
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -176,41 +176,44 @@
 }
 
 // pump starts the waiting requests that can start, in the order of the queues.
+// It costs nothing when no request came and nothing changed for those that wait.
 func (d *dispatch) pump(now time.Time) {
+	if !d.blocked.changed {
+		return
+	}
+	d.blocked.changed = false
 	d.pumpQueue(d.calls, now)
 	d.pumpQueue(d.models, now)
 }
 
 func (d *dispatch) pumpQueue(q *fairqueue.Queue[*work], now time.Time) {
+	var chosen routing.Decision
 	ready := func(item *fairqueue.Item[*work]) bool {
 		if d.blocked.has(item.Group) {
 			return false
 		}
-		if len(d.candidates(item.Value, now, 1)) == 0 {
+		var ok bool
+		if chosen, ok = d.choose(item.Value, now); !ok {
 			d.blocked.add(item.Group, item.Value.resource())
-			return false
 		}
-		return true
+		return ok
 	}
 	for {
+		// The item that Pop returns is the one that ready was asked about last.
 		item, ok := q.Pop(now, ready)
 		if !ok {
 			return
 		}
-		d.place(item.Value, now)
+		d.start(item.Value, chosen, now)
 	}
 }
 
-// place starts a request on the engine that the planner chooses.
-func (d *dispatch) place(w *work, now time.Time) {
+// choose returns where the request may start now. The planner alone decides
+// whether a candidate is full: with a second rule here, a request could leave
+// the queue and then be refused.
+func (d *dispatch) choose(w *work, now time.Time) (routing.Decision, bool) {
 	request := routing.Request{Suspect: w.suspect, PromptTokens: int(w.promptTokens), FailureDomain: d.s.opts.FailureDomain}
-	decision, ok := d.planner.Choose(request, d.candidates(w, now, maxCandidates))
-	if !ok {
-		w.refuse(fault.New(fault.KindNoBackend, "no backend server may take the request", "send the request again").
-			WithRun(fault.NotRun).After(time.Second))
-		return
-	}
-	d.start(w, decision, now)
+	return d.planner.Choose(request, d.candidates(w, now, maxCandidates))
 }
 
 func (d *dispatch) start(w *work, decision routing.Decision, now time.Time) {
--- a/internal/entry/dispatch_test.go
+++ b/internal/entry/dispatch_test.go
@@ -203,6 +203,25 @@
 	}
 }
 
+// A refusal of a later attempt must not hide that an earlier one may have run.
+func TestRunStateOfEarlierAttempt(t *testing.T) {
+	run(t, options{engines: 2}, func(f *fleet) {
+		f.engines["e0"].SetFaults(standin.Faults{LoseAnswer: -1})
+		f.engines["e1"].SetFaults(standin.Faults{Refuse: -1, RefuseStatus: 503})
+		ran := 0
+		for range 12 {
+			r := f.post("/v1/completions", keyRed, completion("a:1", "x", 3, false))
+			must.NotEq(t, 200, r.status)
+			if now := f.engines["e0"].State().Record.Executions; now > ran {
+				ran = now
+				must.Eq(t, "outcome_unknown", r.run(), must.Sprint(r.body))
+			}
+			time.Sleep(400 * time.Millisecond)
+		}
+		must.Positive(t, ran)
+	})
+}
+
 // Without a bound on retries, a failing pool would get a multiple of its load.
 func TestRetryBudget(t *testing.T) {
 	run(t, options{engines: 2}, func(f *fleet) {
@@ -313,3 +332,51 @@
 		must.Zero(t, f.engines["e0"].State().Record.Executions)
 	})
 }
+
+// More requests than the engines batch must wait in the fair queue and must not
+// be refused while their deadline allows them to wait.
+func TestFullEngines(t *testing.T) {
+	run(t, options{engines: 2}, func(f *fleet) {
+		var wg sync.WaitGroup
+		for range 200 {
+			wg.Go(func() {
+				r := f.post("/v1/completions", keyRed, completion("a:1", "x", 10, false))
+				must.Eq(t, 200, r.status, must.Sprint(r.body))
+			})
+		}
+		time.Sleep(400 * time.Millisecond)
+		for name, e := range f.engines {
+			must.LessEq(t, 4, e.State().Waiting, must.Sprint(name, " queues requests itself"))
+		}
+		wg.Wait()
+	})
+}
+
+// Arrivals that a lost report named must be reported again, and none twice.
+func TestArrivals(t *testing.T) {
+	run(t, options{}, func(f *fleet) {
+		f.mute()
+		must.Eq(t, 200, f.post("/v1/completions", keyRed, completion("a:1", "x", 2, false)).status)
+		for range 2 {
+			demand := f.s.Report().GetDemand()
+			must.Len(t, 1, demand)
+			must.Eq(t, 1, demand[0].GetArrivals())
+		}
+		f.apply(nil)
+		must.SliceEmpty(t, f.s.Report().GetDemand())
+	})
+}
+
+// A reservation that is not returned would use up the team's rate without work.
+func TestReservationReturned(t *testing.T) {
+	run(t, options{rate: 1000}, func(f *fleet) {
+		f.engines["e0"].SetFaults(standin.Faults{Refuse: -1, RefuseStatus: 400})
+		start := time.Now()
+		for range 10 {
+			r := f.post("/v1/completions", keyRed, completion("a:1", "x", 900, false))
+			must.Eq(t, 400, r.status, must.Sprint(r.body))
+			must.Eq(t, "not_run", r.run())
+		}
+		must.Less(t, 2*time.Second, time.Since(start), must.Sprint("9,000 tokens take 9 s at the team's rate"))
+	})
+}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -104,13 +104,16 @@
 	var earlier error
 	for n := 1; ; n++ {
 		err := truthful(s.serviceAttempt(ctx, w, call, n), earlier)
-		if err == nil || s.firstByteLeft(w) <= 0 || x.started || n >= s.limits.Attempts || !retryableService(err) || !s.budget.Take(s.now()) {
+		if err == nil || x.started || n >= s.limits.Attempts || !retryableService(err) {
+			return err
+		}
+		w.excluded = append(w.excluded, w.share.server)
+		if s.firstByteLeft(w) <= 0 || !s.hasOther(w) || !s.budget.Take(s.now()) {
 			return err
 		}
 		earlier = err
 		s.metrics.retries.Add(1)
 		s.decide(x, stepRetry, string(fault.KindOf(err)), n)
-		w.excluded = append(w.excluded, w.share.server)
 		if err := s.requeue(ctx, w); err != nil {
 			return truthful(err, earlier)
 		}
