Keep requests off an engine that refused one as overloaded

Cause: an engine that answers 503 to everything answers fastest, looks least loaded and draws requests; the retry budget runs out and callers are refused although other engines have room. Change: an engine that refused a request gets no other one for a report period of 250 ms; a request that it refused may come back to it afterwards.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -179,7 +179,7 @@
 		return reroute, fault.Wrap(err, fault.KindNoBackend, "the engine does not have the adapter", "send the request again").
 			WithRun(run).After(time.Second)
 	case fault.KindOverloaded:
-		a.exclude()
+		s.cool(a.share.server)
 		return retryable, fault.Wrap(err, fault.KindOverloaded, "the engine refused the request", "send the request again").
 			WithRun(run).After(time.Second)
 	case fault.KindInvalidRequest:
@@ -216,6 +216,13 @@
 	s.d.missing[missingKey{a.share.server, a.w.model}] = s.now().Add(missingTime)
 }
 
+// cool keeps further requests off an engine that refused one as overloaded.
+func (s *Server) cool(server string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.d.cooling[server] = s.now().Add(coolingTime)
+}
+
 // abandon ends an attempt whose request was cancelled or whose caller has gone.
 func (s *Server) abandon(ctx context.Context, a *attempt, phase engine.Phase) error {
 	run := fault.OutcomeUnknown
--- a/internal/entry/candidates.go
+++ b/internal/entry/candidates.go
@@ -61,6 +61,9 @@
 	if slices.Contains(w.excluded, name) || d.outliers.Ejected(name, now) {
 		return none, false
 	}
+	if until, ok := d.cooling[name]; ok && now.Before(until) {
+		return none, false
+	}
 	c := routing.Candidate{Engine: name, FailureDomain: b.GetFailureDomain(), MaxBatch: int(b.GetMaxBatch())}
 	if load := d.inFlight[name]; load != nil {
 		c.Own, c.Suspects = load.total, load.suspects
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -33,6 +33,8 @@
 	// missing holds engines that answered that they lack a model which the
 	// fleet table lists.
 	missing map[missingKey]time.Time
+	// cooling holds engines that refused a request as overloaded.
+	cooling map[string]time.Time
 	buffer  []routing.Candidate
 	ticks   uint64
 }
@@ -43,6 +45,11 @@
 // the fleet table. It covers several scrapes and reports.
 const missingTime = 2 * time.Second
 
+// coolingTime is how long an engine that refused a request gets no other one. It
+// is one report period, after which the engine's load is known again. Without it
+// an engine that refuses everything looks like the least loaded one.
+const coolingTime = 250 * time.Millisecond
+
 func newDispatch(s *Server) *dispatch {
 	d := &dispatch{
 		s:        s,
@@ -57,6 +64,7 @@
 		inFlight: map[string]*inFlight{},
 		demand:   map[string]*demand{},
 		missing:  map[missingKey]time.Time{},
+		cooling:  map[string]time.Time{},
 	}
 	d.tokens.init()
 	d.blocked.init()
@@ -128,6 +136,11 @@
 				delete(d.missing, key)
 			}
 		}
+		for name, until := range d.cooling {
+			if !now.Before(until) {
+				delete(d.cooling, name)
+			}
+		}
 	}
 	if now.Sub(d.table.received) > maxRunningAge {
 		d.stopAdapters()
--- a/internal/entry/dispatch_test.go
+++ b/internal/entry/dispatch_test.go
@@ -203,6 +203,19 @@
 	}
 }
 
+// An engine that refuses everything answers fastest and looks idle; it must not
+// draw the requests that the others could serve.
+func TestRefusingEngine(t *testing.T) {
+	run(t, options{engines: 4}, func(f *fleet) {
+		f.engines["e0"].SetFaults(standin.Faults{Refuse: -1, RefuseStatus: 503})
+		for range 100 {
+			r := f.post("/v1/completions", keyRed, completion("a:1", "x", 3, false))
+			must.Eq(t, 200, r.status, must.Sprint(r.body))
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
 // A refusal of a later attempt must not hide that an earlier one may have run.
 func TestRunStateOfEarlierAttempt(t *testing.T) {
 	run(t, options{engines: 2}, func(f *fleet) {
@@ -228,6 +241,7 @@
 		for _, e := range f.engines {
 			e.SetFaults(standin.Faults{Refuse: -1, RefuseStatus: 503})
 		}
+		start := time.Now()
 		var wg sync.WaitGroup
 		for range 100 {
 			wg.Go(func() {
@@ -237,7 +251,8 @@
 			})
 		}
 		wg.Wait()
-		must.LessEq(t, 100/10+3+3*10, f.s.metrics.retries.Value())
+		must.Less(t, 5*time.Second, time.Since(start), must.Sprint("a retry waited although no engine was left"))
+		must.LessEq(t, 100/10+3+3*5, f.s.metrics.retries.Value())
 	})
 }
 
