--- a/internal/entry/dispatch_test.go
+++ b/internal/entry/dispatch_test.go
@@ -302,6 +302,17 @@
 	})
 }
 
+// Without a bound on connections, idle callers could use up a host's memory.
+func TestConnectionBound(t *testing.T) {
+	run(t, options{limits: Limits{Connections: 1}}, func(f *fleet) {
+		resp, r := f.open(f.t.Context(), "/v1/completions", keyRed, "a:1", 50)
+		must.Error(t, f.do(f.request(f.t.Context(), "GET", "/healthz", "", "")).err)
+		_, whole := textOf(t, rest(t, resp, r))
+		must.True(t, whole)
+		must.Eq(t, 200, f.do(f.request(f.t.Context(), "GET", "/healthz", "", "")).status)
+	})
+}
+
 // A drain must fail the health check first, serve until the balancer has
 // noticed, cut no running request, and say what it waits for.
 func TestDrain(t *testing.T) {
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -50,6 +50,8 @@
 
 // Limits bound what a host takes on. A zero field means its default.
 type Limits struct {
+	// Connections bounds the open connections of callers; further ones are closed.
+	Connections int
 	// HeaderBytes bounds the header of a request.
 	HeaderBytes int
 	// BodyBytes bounds the body of a request.
@@ -106,6 +108,7 @@
 }
 
 func (l Limits) withDefaults() Limits {
+	orDefault(&l.Connections, 16384)
 	orDefault(&l.HeaderBytes, 32<<10)
 	orDefault(&l.BodyBytes, 8<<20)
 	orDefault(&l.BodyTime, 30*time.Second)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -24,10 +25,12 @@
 	now     func() time.Time
 	prefix  string
 	counter atomic.Uint64
-	metrics *metrics
-	budget  *retry.Budget
-	serve   endpoint.Endpoint
-	models  atomic.Pointer[modelList]
+	// connections counts the open connections of callers.
+	connections atomic.Int64
+	metrics     *metrics
+	budget      *retry.Budget
+	serve       endpoint.Endpoint
+	models      atomic.Pointer[modelList]
 
 	admitted admitted
 	running  runningSet
@@ -152,7 +155,7 @@
 }
 
 // HTTPServer returns an http.Server for the caller-facing listener with bounds
-// on headers and idle time.
+// on connections, headers and idle time.
 func (s *Server) HTTPServer(addr string) *http.Server {
 	return &http.Server{
 		Addr:              addr,
@@ -160,6 +163,19 @@
 		ReadHeaderTimeout: 10 * time.Second,
 		IdleTimeout:       2 * time.Minute,
 		MaxHeaderBytes:    s.limits.HeaderBytes,
+		ConnState:         s.boundConnections,
+	}
+}
+
+// boundConnections closes connections beyond the bound as they arrive.
+func (s *Server) boundConnections(c net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		if s.connections.Add(1) > int64(s.limits.Connections) {
+			_ = c.Close()
+		}
+	case http.StateClosed, http.StateHijacked:
+		s.connections.Add(-1)
 	}
 }
 
