--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -33,6 +33,8 @@
 	// missing holds engines that answered that they lack a model which the
 	// fleet table lists.
 	missing map[missingKey]time.Time
+	// cooling holds engines that refused a request as overloaded.
+	cooling map[string]time.Time
 	buffer  []routing.Candidate
 	ticks   uint64
 }
@@ -43,6 +45,11 @@
 // the fleet table. It covers several scrapes and reports.
 const missingTime = 2 * time.Second
 
+// coolingTime is how long an engine that refused a request gets no other one. It
+// is one report period, after which the engine's load is known again. Without it
+// an engine that refuses everything looks like the least loaded one.
+const coolingTime = 250 * time.Millisecond
+
 func newDispatch(s *Server) *dispatch {
 	d := &dispatch{
 		s:        s,
@@ -57,6 +64,7 @@
 		inFlight: map[string]*inFlight{},
 		demand:   map[string]*demand{},
 		missing:  map[missingKey]time.Time{},
+		cooling:  map[string]time.Time{},
 	}
 	d.tokens.init()
 	d.blocked.init()
@@ -128,6 +136,11 @@
 				delete(d.missing, key)
 			}
 		}
+		for name, until := range d.cooling {
+			if !now.Before(until) {
+				delete(d.cooling, name)
+			}
+		}
 	}
 	if now.Sub(d.table.received) > maxRunningAge {
 		d.stopAdapters()
@@ -176,41 +189,44 @@
 }
 
 // pump starts the waiting requests that can start, in the order of the queues.
+// It costs nothing when no request came and nothing changed for those that wait.
 func (d *dispatch) pump(now time.Time) {
+	if !d.blocked.changed {
+		return
+	}
+	d.blocked.changed = false
 	d.pumpQueue(d.calls, now)
 	d.pumpQueue(d.models, now)
 }
 
 func (d *dispatch) pumpQueue(q *fairqueue.Queue[*work], now time.Time) {
+	var chosen routing.Decision
 	ready := func(item *fairqueue.Item[*work]) bool {
 		if d.blocked.has(item.Group) {
 			return false
 		}
-		if len(d.candidates(item.Value, now, 1)) == 0 {
+		var ok bool
+		if chosen, ok = d.choose(item.Value, now); !ok {
 			d.blocked.add(item.Group, item.Value.resource())
-			return false
 		}
-		return true
+		return ok
 	}
 	for {
+		// The item that Pop returns is the one that ready was asked about last.
 		item, ok := q.Pop(now, ready)
 		if !ok {
 			return
 		}
-		d.place(item.Value, now)
+		d.start(item.Value, chosen, now)
 	}
 }
 
-// place starts a request on the engine that the planner chooses.
-func (d *dispatch) place(w *work, now time.Time) {
+// choose returns where the request may start now. The planner alone decides
+// whether a candidate is full: with a second rule here, a request could leave
+// the queue and then be refused.
+func (d *dispatch) choose(w *work, now time.Time) (routing.Decision, bool) {
 	request := routing.Request{Suspect: w.suspect, PromptTokens: int(w.promptTokens), FailureDomain: d.s.opts.FailureDomain}
-	decision, ok := d.planner.Choose(request, d.candidates(w, now, maxCandidates))
-	if !ok {
-		w.refuse(fault.New(fault.KindNoBackend, "no backend server may take the request", "send the request again").
-			WithRun(fault.NotRun).After(time.Second))
-		return
-	}
-	d.start(w, decision, now)
+	return d.planner.Choose(request, d.candidates(w, now, maxCandidates))
 }
 
 func (d *dispatch) start(w *work, decision routing.Decision, now time.Time) {
--- a/internal/entry/dispatch_test.go
+++ b/internal/entry/dispatch_test.go
@@ -203,12 +203,45 @@
 	}
 }
 
+// An engine that refuses everything answers fastest and looks idle; it must not
+// draw the requests that the others could serve.
+func TestRefusingEngine(t *testing.T) {
+	run(t, options{engines: 4}, func(f *fleet) {
+		f.engines["e0"].SetFaults(standin.Faults{Refuse: -1, RefuseStatus: 503})
+		for range 100 {
+			r := f.post("/v1/completions", keyRed, completion("a:1", "x", 3, false))
+			must.Eq(t, 200, r.status, must.Sprint(r.body))
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
+// A refusal of a later attempt must not hide that an earlier one may have run.
+func TestRunStateOfEarlierAttempt(t *testing.T) {
+	run(t, options{engines: 2}, func(f *fleet) {
+		f.engines["e0"].SetFaults(standin.Faults{LoseAnswer: -1})
+		f.engines["e1"].SetFaults(standin.Faults{Refuse: -1, RefuseStatus: 503})
+		ran := 0
+		for range 12 {
+			r := f.post("/v1/completions", keyRed, completion("a:1", "x", 3, false))
+			must.NotEq(t, 200, r.status)
+			if now := f.engines["e0"].State().Record.Executions; now > ran {
+				ran = now
+				must.Eq(t, "outcome_unknown", r.run(), must.Sprint(r.body))
+			}
+			time.Sleep(400 * time.Millisecond)
+		}
+		must.Positive(t, ran)
+	})
+}
+
 // Without a bound on retries, a failing pool would get a multiple of its load.
 func TestRetryBudget(t *testing.T) {
 	run(t, options{engines: 2}, func(f *fleet) {
 		for _, e := range f.engines {
 			e.SetFaults(standin.Faults{Refuse: -1, RefuseStatus: 503})
 		}
+		start := time.Now()
 		var wg sync.WaitGroup
 		for range 100 {
 			wg.Go(func() {
@@ -218,7 +251,8 @@
 			})
 		}
 		wg.Wait()
-		must.LessEq(t, 100/10+3+3*10, f.s.metrics.retries.Value())
+		must.Less(t, 5*time.Second, time.Since(start), must.Sprint("a retry waited although no engine was left"))
+		must.LessEq(t, 100/10+3+3*5, f.s.metrics.retries.Value())
 	})
 }
 
@@ -268,6 +302,17 @@
 	})
 }
 
+// Without a bound on connections, idle callers could use up a host's memory.
+func TestConnectionBound(t *testing.T) {
+	run(t, options{limits: Limits{Connections: 1}}, func(f *fleet) {
+		resp, r := f.open(f.t.Context(), "/v1/completions", keyRed, "a:1", 50)
+		must.Error(t, f.do(f.request(f.t.Context(), "GET", "/healthz", "", "")).err)
+		_, whole := textOf(t, rest(t, resp, r))
+		must.True(t, whole)
+		must.Eq(t, 200, f.do(f.request(f.t.Context(), "GET", "/healthz", "", "")).status)
+	})
+}
+
 // A drain must fail the health check first, serve until the balancer has
 // noticed, cut no running request, and say what it waits for.
 func TestDrain(t *testing.T) {
@@ -313,3 +358,51 @@
 		must.Zero(t, f.engines["e0"].State().Record.Executions)
 	})
 }
+
+// More requests than the engines batch must wait in the fair queue and must not
+// be refused while their deadline allows them to wait.
+func TestFullEngines(t *testing.T) {
+	run(t, options{engines: 2}, func(f *fleet) {
+		var wg sync.WaitGroup
+		for range 200 {
+			wg.Go(func() {
+				r := f.post("/v1/completions", keyRed, completion("a:1", "x", 10, false))
+				must.Eq(t, 200, r.status, must.Sprint(r.body))
+			})
+		}
+		time.Sleep(400 * time.Millisecond)
+		for name, e := range f.engines {
+			must.LessEq(t, 4, e.State().Waiting, must.Sprint(name, " queues requests itself"))
+		}
+		wg.Wait()
+	})
+}
+
+// Arrivals that a lost report named must be reported again, and none twice.
+func TestArrivals(t *testing.T) {
+	run(t, options{}, func(f *fleet) {
+		f.mute()
+		must.Eq(t, 200, f.post("/v1/completions", keyRed, completion("a:1", "x", 2, false)).status)
+		for range 2 {
+			demand := f.s.Report().GetDemand()
+			must.Len(t, 1, demand)
+			must.Eq(t, 1, demand[0].GetArrivals())
+		}
+		f.apply(nil)
+		must.SliceEmpty(t, f.s.Report().GetDemand())
+	})
+}
+
+// A reservation that is not returned would use up the team's rate without work.
+func TestReservationReturned(t *testing.T) {
+	run(t, options{rate: 1000}, func(f *fleet) {
+		f.engines["e0"].SetFaults(standin.Faults{Refuse: -1, RefuseStatus: 400})
+		start := time.Now()
+		for range 10 {
+			r := f.post("/v1/completions", keyRed, completion("a:1", "x", 900, false))
+			must.Eq(t, 400, r.status, must.Sprint(r.body))
+			must.Eq(t, "not_run", r.run())
+		}
+		must.Less(t, 2*time.Second, time.Since(start), must.Sprint("9,000 tokens take 9 s at the team's rate"))
+	})
+}
