Find silent connections before the bound of a slow engine

A streamed request that was sent over a connection which had gone silent waited the whole first-byte bound of 30 s, and where one engine held the adapter it was then refused with 504.

Change: after 2 s without an answer the entry host looks for the stream over a new connection. A slow engine goes on there; when the engine does not know the stream, the transport is replaced and the request goes to the same engine again within the retry budget. Resume always uses a connection of its own. TCP keep-alive and TCP_USER_TIMEOUT end connections whose other end acknowledges nothing for 5 s, which also covers whole answers.

Before: 504 after 30 s with one engine.

--- a/internal/engine/complete.go
+++ b/internal/engine/complete.go
@@ -53,8 +53,13 @@
 	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: data}, nil
 }
 
+// resumeTimeout bounds the time to the header of a resumed stream. An engine
+// knows at once whether it has the stream.
+const resumeTimeout = 2 * time.Second
+
 // Resume opens the rest of the attempt's stream after the event with the given
-// sequence number.
+// sequence number. It uses a connection of its own: after a silent connection
+// the others that are open may be silent as well.
 func (c *Client) Resume(ctx context.Context, attemptID string, after uint64, gap time.Duration) (*Stream, error) {
 	if !validName(attemptID) {
 		return nil, c.errorf(NotSent, fault.KindInternal, "use letters, digits and . _ -", "got an invalid attempt identifier")
@@ -62,7 +67,8 @@
 	resp, err := c.roundTrip(ctx, request{
 		method: http.MethodGet, path: pathStreams + url.PathEscape(attemptID), id: newID("resume-"),
 		header: http.Header{"Accept": {"text/event-stream"}, headerLastEventID: {formatUint(after)}},
-		bounds: pool.Bounds{FirstByte: gap, Gap: gap},
+		bounds: pool.Bounds{FirstByte: min(gap, resumeTimeout), Gap: gap},
+		fresh:  true,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -31,6 +31,11 @@
 	reroute
 )
 
+// confirmAfter is the time without an answer after which a streamed attempt is
+// looked for over a new connection: several times the first-token target of
+// 0.34 s, so that a healthy engine is rarely asked.
+const confirmAfter = 2 * time.Second
+
 // attempts runs the request until an attempt succeeds or its failure is final.
 func (s *Server) attempts(ctx context.Context, w *work, call *modelCall) error {
 	var earlier error
@@ -100,10 +105,17 @@
 	a := &attempt{w: w, call: call, id: w.x.id + "." + strconv.Itoa(n), share: w.share, client: s.clients.get(s, b).engine}
 	// Until the engine's answer tells more, the whole reservation counts as used.
 	w.used = w.tokens
+	bound := left
+	if call.stream {
+		bound = min(left, confirmAfter)
+	}
 	answer, err := a.client.Do(ctx, engine.Call{
 		Path: call.path, AttemptID: a.id, Model: w.model, Body: call.body, Stream: call.stream,
-		Priority: int(w.class), FirstByte: left, Gap: s.limits.StreamGap,
+		Priority: int(w.class), FirstByte: bound, Gap: s.limits.StreamGap,
 	})
+	if call.stream && bound < left && fault.Is(err, fault.KindBackendSilent) {
+		return s.confirm(ctx, a, left-bound, err)
+	}
 	if err != nil {
 		return s.failed(ctx, a, err)
 	}
@@ -116,6 +128,30 @@
 	return final, s.whole(a, answer)
 }
 
+// confirm asks over a new connection whether the engine has the stream of a
+// silent attempt. A slow engine goes on with it there. Where the engine answers
+// that it has no such stream, the open connection was lost on the way: the
+// others may be as well, so that they are replaced, and the engine itself is as
+// good as before. This ends the attempt long before the bound of a slow engine.
+func (s *Server) confirm(ctx context.Context, a *attempt, left time.Duration, silence error) (verdict, error) {
+	events, err := a.client.Resume(ctx, a.id, 0, max(left, s.limits.StreamGap))
+	if err == nil {
+		s.metrics.resumes.Add(1)
+		s.decide(a.w.x, stepResume, "no_first_byte", 1)
+		return s.pass(ctx, a, events)
+	}
+	if ctx.Err() != nil || engine.PhaseOf(err) != engine.Answered {
+		return s.failed(ctx, a, silence)
+	}
+	s.opts.Pools.ReportSilent(a.share.server)
+	return retryable, silentEngine(silence)
+}
+
+func silentEngine(cause error) *fault.Error {
+	return fault.Wrap(cause, fault.KindBackendSilent, "the engine did not answer in time", "send the request again").
+		WithRun(fault.OutcomeUnknown)
+}
+
 // whole passes a whole answer on.
 func (s *Server) whole(a *attempt, answer *engine.Answer) error {
 	if total, ok := openai.Usage(answer.Body); ok {
@@ -150,8 +186,7 @@
 		s.report(a.share.server, false)
 		s.abandonLater(a)
 		a.exclude()
-		return retryable, fault.Wrap(err, fault.KindBackendSilent, "the engine did not answer in time", "send the request again").
-			WithRun(fault.OutcomeUnknown)
+		return retryable, silentEngine(err)
 	}
 	s.report(a.share.server, false)
 	if s.crashed(a.share, a.client) {
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -202,6 +202,29 @@
 	})
 }
 
+// A request that is sent over a connection which fell silent before must not
+// wait for the bound of a slow engine. The bound of the check leaves room for
+// the look over a new connection and the second attempt, which has to go to the
+// same engine: no other one holds the adapter.
+func TestStreamOverSilentConnection(t *testing.T) {
+	run(t, options{engines: 1}, func(f *fleet) {
+		for range 4 {
+			must.Eq(t, 200, f.post("/v1/completions", keyRed, completion("a:1", "x", 2, false)).status)
+		}
+		silent := 0
+		for _, e := range f.engines {
+			silent += e.Silence()
+		}
+		must.Positive(t, silent)
+		start := time.Now()
+		resp, r := f.open(f.t.Context(), "/v1/completions", keyRed, "a:1", 5)
+		text, whole := textOf(t, rest(t, resp, r))
+		must.True(t, whole)
+		must.Eq(t, standin.Answer("a:1", "hello", 5), text)
+		must.Less(t, 10*time.Second, time.Since(start))
+	})
+}
+
 // An answer with another request's identifier must never reach a caller.
 func TestCrossedAnswers(t *testing.T) {
 	for name, faults := range map[string]standin.Faults{
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -29,8 +29,13 @@
 	// because a request that meets a connection while the other side closes it
 	// has an unknown outcome.
 	Idle time.Duration
-	// KeepAlive is the period of TCP keep-alive probes; default 5 s.
+	// KeepAlive is the period of TCP keep-alive probes; default 2 s.
 	KeepAlive time.Duration
+	// UserTimeout closes a connection whose other end acknowledges neither data
+	// nor keep-alive probes for this long; default 5 s. Where something between
+	// the two ends has lost track of a connection, this ends it long before the
+	// bound of a whole answer does.
+	UserTimeout time.Duration
 	// Probe bounds the probe of a replaced transport; default 1 s.
 	Probe time.Duration
 	// ProbePath is requested by the probe; any HTTP answer to it passes.
@@ -64,7 +69,8 @@
 	o.FirstByte = orDefault(o.FirstByte, time.Minute)
 	o.Gap = orDefault(o.Gap, 10*time.Second)
 	o.Idle = orDefault(o.Idle, 4*time.Second)
-	o.KeepAlive = orDefault(o.KeepAlive, 5*time.Second)
+	o.KeepAlive = orDefault(o.KeepAlive, 2*time.Second)
+	o.UserTimeout = orDefault(o.UserTimeout, 5*time.Second)
 	o.Probe = orDefault(o.Probe, time.Second)
 	o.SilentLimit = orDefault(o.SilentLimit, 2)
 	o.SilentWindow = orDefault(o.SilentWindow, time.Minute)
@@ -73,9 +79,10 @@
 		o.ProbePath = "/health"
 	}
 	if o.Dial == nil {
-		o.Dial = (&net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: o.KeepAlive, Interval: o.KeepAlive, Count: 3,
-		}}).DialContext
+		o.Dial = (&net.Dialer{
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: o.KeepAlive, Interval: o.KeepAlive, Count: 3},
+			ControlContext:  userTimeout(o.UserTimeout),
+		}).DialContext
 	}
 	return o
 }
--- /dev/null
+++ b/internal/pool/usertimeout_other.go
@@ -0,0 +1,15 @@
+//go:build !linux
+
+package pool
+
+import (
+	"context"
+	"syscall"
+	"time"
+)
+
+// userTimeout returns nil: only Linux has the option, and elsewhere the
+// keep-alive probes end silent connections.
+func userTimeout(time.Duration) func(context.Context, string, string, syscall.RawConn) error {
+	return nil
+}
