Look only at the loads that can start in a placement tick

Cause: a tick sorted all wanted loads and all possible drains. Deliberate faults showed that a base model with full engines, or a team at its slot bound, could hold up the loads of others, and that three rules were not covered by a test.

Change: the planner keeps the first few loads per team and base model and the first few drains. Each base model has its own horizon, and a team at its bound is considered for one load. A suspect's soleness is withdrawn in one place.

--- a/internal/fairqueue/queue_test.go
+++ b/internal/fairqueue/queue_test.go
@@ -60,13 +60,14 @@
 	}
 }
 
-// Guards against a group that waits for a load and blocks its team, and against
-// asking for every item.
+// Guards against a group that waits for a load and blocks its team, asking for
+// every item, and groups of a team that are not served by age.
 func TestWaitingGroupDoesNotBlock(t *testing.T) {
 	q := New[int](Options{})
-	for range 100 {
-		q.Push(item("a", "cold", 10))
-		q.Push(item("a", "warm", 10))
+	for i := range 200 {
+		it := item("a", []string{"cold", "warm"}[i%2], 10)
+		it.Value = i
+		q.Push(it)
 	}
 	asked := 0
 	it, ok := q.Pop(epoch, func(i *Item[int]) bool { asked++; return i.Group == "warm" })
@@ -76,6 +77,10 @@
 	groups := q.Groups()
 	must.Eq(t, 100, groups[0].Waiting)
 	must.Eq(t, 99, groups[1].Waiting)
+	for _, want := range []int{0, 2, 3, 4} { // the oldest first once all are ready
+		it, _ = q.Pop(epoch, always)
+		must.Eq(t, want, it.Value)
+	}
 }
 
 // Guards against lost, doubled or reordered items within a group, wrong bounds
--- a/internal/placement/drains.go
+++ b/internal/placement/drains.go
@@ -39,7 +39,7 @@
 	if need <= 0 {
 		return actions
 	}
-	for _, v := range p.victims(base, mine) {
+	for _, v := range p.victims(base, "", mine) {
 		if need == 0 {
 			break
 		}
@@ -79,14 +79,15 @@
 	return longest
 }
 
-// victims returns the residents that may be drained, the least valuable first.
-// Nothing with waiting requests or a short residence is among them.
-func (p *Planner) victims(base string, missing []want) []victim {
+// victims returns the least valuable residents that may be drained on engines of
+// the base model, of one team if it is not empty. Nothing with waiting requests
+// or a short residence is among them.
+func (p *Planner) victims(base, team string, missing []want) []victim {
 	busyAllowed := p.longestWait(missing) >= p.opts.BusyWait
-	var out []victim
+	out := top[victim]{k: p.horizon(), compare: p.compareVictims}
 	for i := range p.x.refs {
 		r := &p.x.refs[i]
-		if r.waiting() > 0 || r.ready == 0 {
+		if r.waiting() > 0 || r.ready == 0 || team != "" && r.team != team {
 			continue
 		}
 		for _, at := range r.residents {
@@ -94,12 +95,11 @@
 				continue
 			}
 			if v, ok := p.victim(i, at); ok && (busyAllowed || !v.busy) {
-				out = append(out, v)
+				out.add(v)
 			}
 		}
 	}
-	slices.SortFunc(out, p.compareVictims)
-	return out
+	return out.items
 }
 
 func (p *Planner) victim(ref int, at place) (victim, bool) {
@@ -172,8 +172,8 @@
 			continue
 		}
 		done[t.name] = true
-		for _, v := range p.victims(r.demand.BaseModel, []want{w}) {
-			if p.x.refs[v.ref].team == t.name && p.displaces([]want{w}, v) {
+		for _, v := range p.victims(r.demand.BaseModel, t.name, []want{w}) {
+			if p.displaces([]want{w}, v) {
 				actions = append(actions, p.drain(v, ReasonTeamBound))
 				break
 			}
--- a/internal/placement/index.go
+++ b/internal/placement/index.go
@@ -71,6 +71,7 @@
 	engines []engineState
 	refs    []refState
 	byRef   map[Ref]int
+	best    map[string]int // adapter to its ready version with the most demand
 	teams   map[string]*teamState
 	bases   map[string]*baseState
 	starts  int // loads started within the last second
@@ -235,7 +236,11 @@
 // markSuperseded marks ready versions for which a version with more demand is
 // ready as well.
 func (x *index) markSuperseded() {
-	best := map[string]int{}
+	if x.best == nil {
+		x.best = map[string]int{}
+	}
+	best := x.best
+	clear(best)
 	for i := range x.refs {
 		r := &x.refs[i]
 		if r.ready == 0 {
--- a/internal/placement/loads.go
+++ b/internal/placement/loads.go
@@ -14,30 +14,62 @@
 	reason string
 }
 
+// horizon is how many loads the planner looks at. The rest waits for a later
+// tick; a few more than can start are needed to make room in advance.
+func (p *Planner) horizon() int { return 2 * (p.opts.MaxStarts + p.opts.Spare) }
+
+// list is the wanted loads of one team on the engines of one base model.
+type list struct {
+	base, team string
+	top[want]
+}
+
 // wanted returns the loads in the order of service: first what waits and the
 // replicas of overloaded adapters, by fairness between teams, then refills by
 // demand. The requests of an overloaded adapter wait as well, at its engine.
 func (p *Planner) wanted() []want {
-	var waiting, ahead []want
+	waiting, ahead := map[[2]string]*list{}, map[[2]string]*list{}
 	for i := range p.x.refs {
 		r := &p.x.refs[i]
-		if r.demand == nil || p.x.now.Before(r.retryAt) {
+		w, ok := p.want(i, r)
+		if !ok {
 			continue
 		}
-		replicas := r.ready + r.loading
-		value := r.demand.Arrivals / float64(replicas+1)
-		switch {
-		case replicas == 0 && r.demand.Waiting > 0:
-			waiting = append(waiting, want{i, urgency(r.demand), value, ReasonWaiting})
-		case replicas == 0 && r.draining == 0 && r.demand.Arrivals >= p.opts.RefillArrivals:
-			ahead = append(ahead, want{i, value, value, ReasonRefill})
-		case replicas > 0 && r.loading == 0 && replicas < p.replicas(r):
-			waiting = append(waiting, want{i, value * expectedSeconds, value, ReasonReplica})
+		lists, key := waiting, [2]string{r.demand.BaseModel, r.team}
+		if w.reason == ReasonRefill {
+			lists, key[1] = ahead, ""
+		}
+		l := lists[key]
+		if l == nil {
+			l = &list{key[0], key[1], top[want]{k: p.horizon(), compare: p.compareWants}}
+			lists[key] = l
 		}
+		l.add(w)
 	}
-	p.sortWants(waiting)
-	p.sortWants(ahead)
-	return append(p.fairOrder(waiting), ahead...)
+	var refills []want
+	for _, l := range ahead {
+		refills = append(refills, l.items...)
+	}
+	slices.SortFunc(refills, p.compareWants)
+	return append(p.fairOrder(waiting), refills...)
+}
+
+// want returns the load that an adapter version needs, if any.
+func (p *Planner) want(i int, r *refState) (want, bool) {
+	if r.demand == nil || p.x.now.Before(r.retryAt) || p.x.base(r.demand.BaseModel).slots == 0 {
+		return want{}, false
+	}
+	replicas := r.ready + r.loading
+	value := r.demand.Arrivals / float64(replicas+1)
+	switch {
+	case replicas == 0 && r.demand.Waiting > 0:
+		return want{i, urgency(r.demand), value, ReasonWaiting}, true
+	case replicas == 0 && r.draining == 0 && r.demand.Arrivals >= p.opts.RefillArrivals:
+		return want{i, value, value, ReasonRefill}, true
+	case replicas > 0 && r.loading == 0 && replicas < p.replicas(r):
+		return want{i, value * expectedSeconds, value, ReasonReplica}, true
+	}
+	return want{}, false
 }
 
 // urgency is the number of requests that a load serves: those that wait and those
@@ -60,43 +92,33 @@
 	return min(n, p.opts.MaxReplicas)
 }
 
-func (p *Planner) sortWants(wants []want) {
-	slices.SortFunc(wants, func(a, b want) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), p.x.refs[a.ref].ref.Compare(p.x.refs[b.ref].ref))
-	})
+func (p *Planner) compareWants(a, b want) int {
+	return cmp.Or(cmp.Compare(b.score, a.score), p.x.refs[a.ref].ref.Compare(p.x.refs[b.ref].ref))
 }
 
 // fairOrder interleaves teams: the next load goes to the team with the fewest
-// recent loads.
-func (p *Planner) fairOrder(sorted []want) []want {
-	byTeam := map[string][]want{}
-	var teams []*teamState
-	recent := map[string]int{}
-	for _, w := range sorted {
-		name := p.x.refs[w.ref].team
-		if byTeam[name] == nil {
-			t := p.x.team(name)
-			teams = append(teams, t)
-			recent[name] = t.recent
-		}
-		byTeam[name] = append(byTeam[name], w)
+// recent loads. Each base model gets no more than the horizon, so that one with
+// full engines does not hold up another.
+func (p *Planner) fairOrder(byKey map[[2]string]*list) []want {
+	lists := make([]*list, 0, len(byKey))
+	recent, taken := map[string]int{}, map[string]int{}
+	for _, l := range byKey {
+		lists = append(lists, l)
+		recent[l.team] = p.x.team(l.team).recent
 	}
-	out := make([]want, 0, len(sorted))
-	// Only the head of the order can start in this tick.
-	for len(teams) > 0 && len(out) < p.opts.MaxStarts+p.opts.Spare {
-		next := slices.MinFunc(teams, func(a, b *teamState) int {
-			return cmp.Or(
-				cmp.Compare(recent[a.name], recent[b.name]),
-				cmp.Compare(byTeam[b.name][0].score, byTeam[a.name][0].score),
-				cmp.Compare(a.name, b.name),
-			)
+	var out []want
+	for len(lists) > 0 {
+		l := slices.MinFunc(lists, func(a, b *list) int {
+			return cmp.Or(cmp.Compare(recent[a.team], recent[b.team]), p.compareWants(a.items[0], b.items[0]))
+		})
+		out = append(out, l.items[0])
+		recent[l.team]++
+		taken[l.base]++
+		l.items = l.items[1:]
+		// A team at its bound gets room for one load at a time.
+		lists = slices.DeleteFunc(lists, func(o *list) bool {
+			return o == l && (len(l.items) == 0 || p.x.team(l.team).full()) || taken[o.base] >= p.horizon()
 		})
-		out = append(out, byTeam[next.name][0])
-		recent[next.name]++
-		byTeam[next.name] = byTeam[next.name][1:]
-		if len(byTeam[next.name]) == 0 {
-			teams = slices.DeleteFunc(teams, func(t *teamState) bool { return t == next })
-		}
 	}
 	return out
 }
@@ -107,9 +129,6 @@
 	budget := min(p.opts.MaxInFlight-p.x.loading, p.opts.MaxStarts-p.x.starts)
 	var missing []want
 	for _, w := range wanted {
-		if len(missing) > p.opts.Spare+p.opts.MaxStarts {
-			break
-		}
 		i := p.slotFor(w)
 		if i < 0 {
 			missing = append(missing, w)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -63,6 +63,16 @@
 	oldBusy.Residents = slices.Clone(old.Residents)
 	oldBusy.Residents[0].InFlight = 1
 	second := time.Second
+	many, other := manyWaiting("t", ""), engine("e2")
+	many = append(many, waits("b", "u", 1, 0))
+	for i := range 10 {
+		many = append(many, arrives(fmt.Sprint("u", i), "u", 1))
+	}
+	manyBase := manyWaiting("t", "")
+	manyBase = append(manyBase, waits("b", "t", 1, 0))
+	other.BaseModel, manyBase[len(manyBase)-1].BaseModel = "m2", "m2"
+	sameDomain := engine("e2")
+	sameDomain.FailureDomain = "d-e1"
 	for name, c := range map[string]struct {
 		s    Snapshot
 		want string
@@ -90,6 +100,9 @@
 		"few loads go before many":        {Snapshot{Engines: []Engine{engine("e1"), engine("e2"), loadingOf("e3", "z")}, Demand: []Demand{waits("a", "t", 9, second), waits("b", "u", 1, 0), arrives("z", "t", 1)}}, "load b@e1"},
 		"more waiting goes first":         {Snapshot{Engines: []Engine{engine("e1"), loadingOf("e3", "z")}, Demand: []Demand{waits("a", "t", 1, 0), waits("b", "t", 5, 0), arrives("z", "t", 1)}}, "load b@e1"},
 		"busy one goes after a long wait": {Snapshot{Engines: []Engine{busyEngine()}, Demand: []Demand{waits("a", "t", 1, 3*second), arrives("x", "t", 2), arrives("y", "t", 1)}}, "drain y@e1"},
+		"team at its bound holds no one":  {Snapshot{Engines: []Engine{recentEngine("u"), engine("e2", "y")}, Teams: []Team{{"t", 1}}, Demand: append(many, arrives("y", "t", 1))}, "load b@e2, drain y@e2"},
+		"full base model holds no one":    {Snapshot{Engines: []Engine{youngEngine(), other}, Demand: manyBase}, "load b@e2"},
+		"replica in another domain, busy": {Snapshot{Engines: []Engine{engine("e1", "a"), sameDomain, hotEngine2()}, Demand: []Demand{arrives("a", "t", 6)}}, "load a@e3"},
 		"nothing with waiters is drained": {Snapshot{Engines: []Engine{engine("e1", "x", "y")}, Demand: []Demand{waits("a", "t", 1, 0), waits("x", "t", 1, 0), arrives("y", "t", 9)}}, "drain y@e1"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -105,6 +118,38 @@
 	return e
 }
 
+func hotEngine2() Engine {
+	e := engine("e3", "h")
+	e.Residents[0].InFlight = 9
+	return e
+}
+
+// recentEngine holds ten adapters of a team that were just loaded.
+func recentEngine(team string) Engine {
+	e := Engine{Name: "e1", Slots: 10, Healthy: true}
+	for i := range e.Slots {
+		e.Residents = append(e.Residents, Resident{Ref: ref(fmt.Sprint(team, i)), State: Ready, InFlight: 1, Since: epoch})
+	}
+	return e
+}
+
+func youngEngine() Engine {
+	e := engine("e1", "x", "y")
+	e.Residents[0].Since, e.Residents[1].Since = epoch, epoch
+	return e
+}
+
+// manyWaiting returns more demand than the planner looks at in one tick.
+func manyWaiting(team, base string) []Demand {
+	var out []Demand
+	for i := range 40 {
+		d := waits(fmt.Sprint("w", i), team, 5, 0)
+		d.BaseModel = base
+		out = append(out, d)
+	}
+	return out
+}
+
 func hotEngine() Engine {
 	e := engine("e1", "a")
 	e.Residents[0].InFlight = 9
--- /dev/null
+++ b/internal/placement/top.go
@@ -0,0 +1,22 @@
+package placement
+
+import "slices"
+
+// top keeps the first k items of an order without sorting all of them. Of tens
+// of thousands of adapters only a few loads start in one tick.
+type top[T any] struct {
+	items   []T
+	k       int
+	compare func(a, b T) int
+}
+
+func (t *top[T]) add(x T) {
+	if len(t.items) == t.k {
+		if t.k == 0 || t.compare(x, t.items[t.k-1]) >= 0 {
+			return
+		}
+		t.items = t.items[:t.k-1]
+	}
+	i, _ := slices.BinarySearchFunc(t.items, x, t.compare)
+	t.items = slices.Insert(t.items, i, x)
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -99,6 +99,7 @@
 // add books a crash. Hosts see only their own requests, so that the reported
 // soleness is checked against the marks of other hosts for the same crash.
 func (t *Table) add(s *suspect, c crash, sole bool) {
+	others := len(t.earlier[c]) > 0
 	if len(s.crashes) > 0 {
 		t.earlier[c] = append(t.earlier[c], s.fingerprint)
 	}
@@ -106,13 +107,11 @@
 	if !slices.Contains(s.servers, c.server) {
 		s.servers = append(s.servers, c.server)
 	}
-	others := t.earlier[c]
-	alone := len(others) == 0 || (len(others) == 1 && others[0] == s.fingerprint)
-	if sole && alone && !slices.Contains(s.sole, c.server) {
-		s.sole = append(s.sole, c.server)
-	}
-	if !alone {
+	switch {
+	case others:
 		t.clearSole(c)
+	case sole && !slices.Contains(s.sole, c.server):
+		s.sole = append(s.sole, c.server)
 	}
 }
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -36,6 +36,7 @@
 		"same server three times":      {"a s1 1 sole, a s1 2 sole, a s1 3 sole", 1, false},
 		"repeated mark":                {"a s1 1 sole, a s1 1 sole, a s1 1 sole", 1, false},
 		"other host has a suspect too": {"b s3 1 sole, a s1 1 sole, b s2 1 sole, a s2 1 sole", 2, false},
+		"first mark beside a suspect":  {"b s3 1, b s1 1 sole, a s1 1 sole, a s2 1 sole", 2, false},
 		"ordinary crash of the same":   {"b s3 1, a s1 1 sole, a s2 1 sole", 2, true},
 	} {
 		t.Run(name, func(t *testing.T) {
