--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,8 +31,9 @@
 	forgetHostAfter = 10 * time.Minute
 	// unhealthyAfter is the number of failed scrapes in a row that make an engine unhealthy.
 	unhealthyAfter = 2
-	// demandHalfLife is the half-life of the decayed arrival rate.
-	demandHalfLife = 30 * time.Second
+	// demandHalfLife is the half-life of the decayed arrival rate. With 10 s,
+	// adapters that are asked for twice a minute looked idle and were drained.
+	demandHalfLife = 40 * time.Second
 	// minArrivals is the rate, per second, below which idle demand is dropped.
 	minArrivals = 0.001
 	// failureKept is how long load failures are remembered for backoff.
