Let waiting batch requests save up no turns

Cause: batch gained its share of tokens while its requests waited for a load.

Change: a turn of batch at which nothing is ready ends its claim.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -47,11 +47,13 @@
 	RequestsPerSecond float64
 }
 
-// Deployments returns the two current deployments.
+// Deployments returns the two current deployments, and A with rates that promise
+// more than its engines can serve.
 func Deployments() []Deployment {
 	return []Deployment{
 		{Name: "A", Engines: 9, Slots: 16, FailureDomains: 3, Hosts: 6, Adapters: 3000, RequestsPerSecond: 27},
 		{Name: "B", Engines: 12, Slots: 16, FailureDomains: 4, Hosts: 9, Adapters: 3000, RequestsPerSecond: 36},
+		{Name: "A-overload", Engines: 9, Slots: 16, FailureDomains: 3, Hosts: 6, Adapters: 3000, RequestsPerSecond: 60},
 	}
 }
 
--- a/internal/fairqueue/queue.go
+++ b/internal/fairqueue/queue.go
@@ -155,13 +155,17 @@
 			q.remove(n)
 			return n.item, true
 		}
+		if c == Batch {
+			// Nothing was ready at batch's turn. Without this, batch that waits for
+			// loads would save up turns and later go ahead of interactive for long.
+			q.batchDebt = min(q.batchDebt, 0)
+		}
 	}
 	return Item[T]{}, false
 }
 
-// charge books served tokens. Batch gains its share of what interactive
-// receives only while batch items wait, and saves up no more than one second of
-// work would cost.
+// charge books served tokens. Batch gains its share of what interactive receives
+// only while batch items wait.
 func (q *Queue[T]) charge(c Class, cost float64) {
 	share := q.opts.BatchShare
 	switch {
@@ -175,7 +179,7 @@
 }
 
 // maxBatchDebt bounds, in tokens, how long one class can be served ahead of the
-// other after the other had nothing ready.
+// other.
 const maxBatchDebt = 16384
 
 // Ahead estimates how many tokens are served before a new item of the team.
--- a/internal/fairqueue/queue_test.go
+++ b/internal/fairqueue/queue_test.go
@@ -83,6 +83,22 @@
 	}
 }
 
+// Guards against batch requests that wait for a load, save up turns and later go
+// ahead of all interactive ones.
+func TestWaitingBatchSavesNoTurns(t *testing.T) {
+	q := New[int](Options{})
+	for i := range 400 {
+		it := item("a", []string{"warm", "cold"}[i%2], 100)
+		it.Class = Class(i % 2)
+		q.Push(it)
+	}
+	for range 150 {
+		it, _ := q.Pop(epoch, func(i *Item[int]) bool { return i.Group == "warm" })
+		must.Eq(t, Interactive, it.Class)
+	}
+	must.Between(t, 3500, served(q, 4000)["class 0"], 3700)
+}
+
 // Guards against lost, doubled or reordered items within a group, wrong bounds
 // and items that outlive their deadline, under random operations.
 func TestQueueModel(t *testing.T) {
