Count the requests of other hosts in full when an engine may be full

Cause: under overload half of the late interactive requests waited in the engine's own queue, which is not fair. A host discounted the report by its age, and with it the requests of the other hosts.

Change: the driver's host derives the others' requests from the report and its own count, and routing counts them in full.

--- a/internal/bench/host.go
+++ b/internal/bench/host.go
@@ -37,6 +37,7 @@
 	prefixes *routing.PrefixIndex
 	view     *view
 	own      []int // in flight by engine
+	others   []int // in flight from other hosts at the last report
 	arrivals map[placement.Ref]arrivalCount
 	lacking  []uint64 // queued tokens of each team that lack a reservation
 	tokens   []uint64 // queued tokens by team
@@ -48,7 +49,7 @@
 func newHost(w *world, i int) *host {
 	d := w.cfg.Deployment
 	h := &host{
-		w: w, index: i, view: w.control.view, own: make([]int, d.Engines),
+		w: w, index: i, view: w.control.view, own: make([]int, d.Engines), others: make([]int, d.Engines),
 		queue:    fairqueue.New[*request](fairqueue.Options{MaxItems: queueBound, MaxTeamItems: queueBound / 2}),
 		router:   routing.NewPlanner(w.cfg.Seed*31+uint64(i), routing.Options{}),
 		prefixes: routing.NewPrefixIndex(routing.PrefixOptions{BlockBytes: 4 * blockTokens}),
@@ -147,7 +148,7 @@
 		}
 		h.buffer = append(h.buffer, routing.Candidate{
 			Engine: h.w.names[i], FailureDomain: domainName(i % h.w.cfg.Deployment.FailureDomains),
-			Own: h.own[i], Running: e.running, Queued: e.queued, MaxBatch: maxBatch,
+			Own: h.own[i], Others: h.others[i], Running: e.running, Queued: e.queued, MaxBatch: maxBatch,
 			ReportAge: h.w.now.Sub(e.scraped), PrefixTokens: h.prefixes.Tokens(h.w.names[i], r.prefix, h.w.now),
 		})
 	}
@@ -199,6 +200,9 @@
 		h.nextRep = h.nextRep.Add(reportEvery)
 		h.view = h.w.control.report(h.index, h)
 		clear(h.arrivals)
+		for i, e := range h.view.engines {
+			h.others[i] = max(0, e.running+e.queued-h.own[i])
+		}
 	}
 	h.borrow()
 	h.dispatch()
--- a/internal/routing/planner.go
+++ b/internal/routing/planner.go
@@ -14,7 +14,8 @@
 	Engine, FailureDomain string
 	// Own is the number of requests in flight there from this host.
 	Own int
-	// Others is the number of requests in flight there from other hosts.
+	// Others is the number of requests in flight there from other hosts: the
+	// engine's running and queued requests less the own ones when the report came.
 	Others int
 	// Running and Queued are the engine's own counts ReportAge ago.
 	Running, Queued int
