Wait for the reports after a restart in the test of cold adapters

It sent a request right after an engine's restart, while the fleet table still listed the adapter, and then the answer depends on whether the kept connection was already known as closed. Conclusion: the test meets the case that it names.

--- a/internal/entry/dispatch_test.go
+++ b/internal/entry/dispatch_test.go
@@ -156,6 +156,7 @@
 		must.Positive(t, f.s.metrics.stallMs.Value())
 
 		f.engines["e0"].Restart()
+		time.Sleep(600 * time.Millisecond) // the reports know of the restart
 		r := f.post("/v1/completions", keyRed, completion("cold", "x", 4, false))
 		must.Eq(t, "no_backend_server", r.reason())
 		must.Eq(t, "not_run", r.run())
