Refuse early only by what the host can serve while requests wait

Cause: the pace for early refusals was the throughput of the last 10 s. Change: the pace counts only while requests wait for a free engine, and the requests that wait for a load are left out of what is ahead.

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -163,12 +163,14 @@
 	if w.once {
 		w.queue = d.calls
 	}
-	if e := d.tooLate(w, now); e != nil {
-		return e
-	}
+	w.cold = false
 	if w.ref != nil {
 		list, _ := d.table.ready.Get(w.model)
-		w.stalled = w.stalled || len(list) == 0
+		w.cold = len(list) == 0
+		w.stalled = w.stalled || w.cold
+	}
+	if e := d.tooLate(w, now); e != nil {
+		return e
 	}
 	ticket, ok := w.queue.Push(fairqueue.Item[*work]{
 		Team: w.x.team, Class: w.class, Group: w.group(), Cost: max(w.cost, 1),
@@ -188,13 +190,17 @@
 }
 
 // tooLate refuses a request early whose deadline cannot be met with what is
-// queued before it at the pace of the last seconds.
+// queued before it at the pace of the last seconds. Requests that wait for a load
+// are left out: they do not hold up the others, and a load does not depend on
+// the queue.
 func (d *dispatch) tooLate(w *work, now time.Time) *fault.Error {
-	pace := d.pace.perSecond(now)
-	if pace == 0 {
+	pace := d.pace.perSecond()
+	ahead := w.queue.Ahead(w.x.team, w.class)
+	ahead -= min(ahead, d.coldCost)
+	if pace == 0 || w.cold || ahead == 0 {
 		return nil
 	}
-	wait := time.Duration(float64(w.queue.Ahead(w.x.team, w.class)) / pace * float64(time.Second))
+	wait := time.Duration(float64(ahead) / pace * float64(time.Second))
 	over := now.Add(wait).Sub(w.deadline)
 	if over <= 0 {
 		return nil
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -30,6 +30,10 @@
 	demand   map[string]*demand
 	blocked  blockedGroups
 	pace     pace
+	// coldCost is the cost of the queued requests that wait for a load.
+	coldCost uint64
+	// hot is the number of queued requests that wait for a free engine only.
+	hot int
 	// missing holds engines that answered that they lack a model which the
 	// fleet table lists.
 	missing map[missingKey]time.Time
@@ -146,6 +150,7 @@
 		d.stopAdapters()
 	}
 	d.pump(now)
+	d.pace.observe(now, d.hot > 0)
 }
 
 // stopAdapters cancels the requests that run on adapters. The control leader
@@ -197,6 +202,7 @@
 	d.blocked.changed = false
 	d.pumpQueue(d.calls, now)
 	d.pumpQueue(d.models, now)
+	d.pace.observe(now, d.hot > 0)
 }
 
 func (d *dispatch) pumpQueue(q *fairqueue.Queue[*work], now time.Time) {
@@ -242,7 +248,7 @@
 	if w.prefix != nil {
 		d.prefixes.Add(decision.Engine, w.prefix, now)
 	}
-	d.pace.served(w.cost, now)
+	d.pace.served(w.cost)
 	w.grant()
 }
 
--- a/internal/entry/dispatch_test.go
+++ b/internal/entry/dispatch_test.go
@@ -407,3 +407,58 @@
 		must.Less(t, 2*time.Second, time.Since(start), must.Sprint("9,000 tokens take 9 s at the team's rate"))
 	})
 }
+
+// A request whose deadline cannot be met must be refused at once and not after
+// it has waited in vain, and must not push out those that can be served.
+func TestEarlyRefusal(t *testing.T) {
+	run(t, options{limits: Limits{InteractiveWait: 2 * time.Second}}, func(f *fleet) {
+		var mu sync.Mutex
+		outcomes := map[string]int{}
+		send := func(n int) {
+			var wg sync.WaitGroup
+			for range n {
+				wg.Go(func() {
+					start := time.Now()
+					r := f.post("/v1/completions", keyRed, completion("a:1", "x", 10, false))
+					when := "late"
+					if time.Since(start) < 500*time.Millisecond {
+						when = "at once"
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					if r.status == 200 {
+						when = ""
+					} else {
+						must.Eq(t, "not_run", r.run())
+						must.NotEq(t, "", r.header.Get("Retry-After"))
+					}
+					outcomes[fmt.Sprint(r.status, r.reason(), when)]++
+				})
+			}
+			wg.Wait()
+		}
+		for range 40 { // little traffic says nothing about what can be served
+			send(1)
+			time.Sleep(200 * time.Millisecond)
+		}
+		send(100) // about 80 requests/s
+		must.Eq(t, 140, outcomes["200"], must.Sprint(outcomes))
+		clear(outcomes)
+		send(500)
+		t.Log(outcomes)
+		must.Greater(t, 200, outcomes["503deadline_exceededat once"], must.Sprint(outcomes))
+		must.Greater(t, 100, outcomes["200"], must.Sprint(outcomes))
+		clear(outcomes)
+		var cold sync.WaitGroup
+		for range 100 {
+			cold.Go(func() {
+				r := f.post("/v1/completions", keyRed, completion("cold", "x", 500, false))
+				must.Eq(t, "no_backend_server", r.reason())
+			})
+		}
+		time.Sleep(400 * time.Millisecond)
+		send(20)
+		must.Eq(t, 20, outcomes["200"], must.Sprint("requests behind a load were refused: ", outcomes))
+		cold.Wait()
+	})
+}
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -395,6 +395,8 @@
 	defer f.s.mu.Unlock()
 	must.Zero(f.t, f.s.d.models.Len()+f.s.d.calls.Len())
 	must.MapEmpty(f.t, f.s.d.tokens.teams)
+	must.Zero(f.t, f.s.d.coldCost)
+	must.Zero(f.t, f.s.d.hot)
 	for name, load := range f.s.d.inFlight {
 		must.Zero(f.t, load.total+load.suspects+len(load.models)+len(load.shares), must.Sprint(name))
 	}
--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -62,24 +62,38 @@
 	if w.ref == nil {
 		return
 	}
+	d.demandOf(w).arrivals++
+}
+
+func (d *dispatch) demandOf(w *work) *demand {
 	row := d.demand[w.model]
 	if row == nil {
 		row = &demand{ref: w.ref, waiting: map[*work]struct{}{}}
 		d.demand[w.model] = row
 	}
-	row.arrivals++
+	return row
 }
 
-// setWaiting tells the demand table whether the request is in the queue.
+// setWaiting counts a request that enters or leaves the queue.
 func (d *dispatch) setWaiting(w *work, waiting bool) {
-	if w.ref == nil {
+	if w.waiting == waiting {
 		return
 	}
-	row := d.demand[w.model]
-	if row == nil {
-		row = &demand{ref: w.ref, waiting: map[*work]struct{}{}}
-		d.demand[w.model] = row
+	w.waiting = waiting
+	switch {
+	case w.cold && waiting:
+		d.coldCost += w.cost
+	case w.cold:
+		d.coldCost -= w.cost
+	case waiting:
+		d.hot++
+	default:
+		d.hot--
+	}
+	if w.ref == nil {
+		return
 	}
+	row := d.demandOf(w)
 	if waiting {
 		row.waiting[w] = struct{}{}
 	} else {
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -54,9 +54,13 @@
 	reservation rate.Reservation
 	reserved    bool
 	// used is the number of tokens that the reservation is settled with.
-	used       uint64
-	share      *share
-	stalled    bool
+	used    uint64
+	share   *share
+	stalled bool
+	// waiting is true while the request is in the queue.
+	waiting bool
+	// cold is true when no engine had the adapter when the request was queued.
+	cold       bool
 	reason     string
 	considered int
 	refusal    *fault.Error
