--- a/internal/control/forward.go
+++ b/internal/control/forward.go
@@ -24,7 +24,7 @@
 func serve[Resp any](
 	ctx context.Context,
 	s *Server,
-	cluster string,
+	method, cluster string,
 	local func(*leader) (*Resp, error),
 	remote func(context.Context, *client.Endpoint) (*Resp, error),
 ) (*Resp, error) {
@@ -32,6 +32,7 @@
 		return nil, err
 	}
 	if l := s.leading(); l != nil {
+		s.metrics.requests.Add(method, 1)
 		return local(l)
 	}
 	to := s.replica.Leader()
@@ -39,6 +40,7 @@
 	if info != nil && info.RequestHeader().Get(forwardedHeader) != "" || to == nil || s.isSelf(to) {
 		return nil, s.notLeader(to)
 	}
+	s.metrics.forwarded.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	ctx, out := connect.NewClientContext(ctx)
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -31,7 +31,7 @@
 
 // Report takes in an entry host's heartbeat.
 func (h fleetHandler) Report(ctx context.Context, req *apiv1.ReportRequest) (*apiv1.ReportResponse, error) {
-	resp, err := serve(ctx, h.s, req.GetCluster(),
+	resp, err := serve(ctx, h.s, "report", req.GetCluster(),
 		func(l *leader) (*apiv1.ReportResponse, error) { return l.report(req) },
 		func(ctx context.Context, e *client.Endpoint) (*apiv1.ReportResponse, error) {
 			return e.Fleet.Report(ctx, req)
@@ -92,7 +92,7 @@
 
 // Borrow lends tokens to an entry host.
 func (h rateHandler) Borrow(ctx context.Context, req *apiv1.BorrowRequest) (*apiv1.BorrowResponse, error) {
-	resp, err := serve(ctx, h.s, req.GetCluster(),
+	resp, err := serve(ctx, h.s, "borrow", req.GetCluster(),
 		func(l *leader) (*apiv1.BorrowResponse, error) { return l.lender.Borrow(req, time.Now()), nil },
 		func(ctx context.Context, e *client.Endpoint) (*apiv1.BorrowResponse, error) {
 			return e.Rate.Borrow(ctx, req)
@@ -104,7 +104,7 @@
 
 // Begin records that a non-repeatable call may start.
 func (h callHandler) Begin(ctx context.Context, req *apiv1.BeginCallRequest) (*apiv1.BeginCallResponse, error) {
-	resp, err := serve(ctx, h.s, req.GetCluster(),
+	resp, err := serve(ctx, h.s, "begin", req.GetCluster(),
 		func(l *leader) (*apiv1.BeginCallResponse, error) { return l.beginCall(ctx, req.GetCall()) },
 		func(ctx context.Context, e *client.Endpoint) (*apiv1.BeginCallResponse, error) {
 			return e.Call.Begin(ctx, req)
@@ -129,7 +129,7 @@
 
 // Finish records the outcome of a non-repeatable call.
 func (h callHandler) Finish(ctx context.Context, req *apiv1.FinishCallRequest) (*apiv1.FinishCallResponse, error) {
-	resp, err := serve(ctx, h.s, req.GetCluster(),
+	resp, err := serve(ctx, h.s, "finish", req.GetCluster(),
 		func(l *leader) (*apiv1.FinishCallResponse, error) {
 			return propose[apiv1.FinishCallResponse](ctx, l.s, &apiv1.Command{
 				UnixMs:  time.Now().UnixMilli(),
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -132,6 +132,7 @@
 		done = l.fleet.CancelDrain(a.Engine, ref, now)
 	}
 	if done {
+		l.s.metrics.decisions.Add(a.Kind.String(), 1)
 		l.logger.Info().Str("decision", a.Kind.String()).Str("engine", a.Engine).
 			Str("adapter", ref.Adapter).Str("version", ref.Version).
 			Str("team", a.Team).Str("reason", a.Reason).Msg("placement")
@@ -179,6 +180,7 @@
 		if !stop {
 			continue
 		}
+		l.s.metrics.quarantines.Add(1)
 		cmd := &apiv1.Command{UnixMs: now.UnixMilli(), Command: &apiv1.Command_PutQuarantine{
 			PutQuarantine: &apiv1.PutQuarantine{
 				Fingerprint: m.GetFingerprint(),
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -19,7 +19,7 @@
 
 // Apply commits one numbered change.
 func (h operatorHandler) Apply(ctx context.Context, req *apiv1.ApplyRequest) (*apiv1.ApplyResponse, error) {
-	resp, err := serve(ctx, h.s, req.GetCluster(),
+	resp, err := serve(ctx, h.s, "apply", req.GetCluster(),
 		func(l *leader) (*apiv1.ApplyResponse, error) {
 			return propose[apiv1.ApplyResponse](ctx, l.s, &apiv1.Command{
 				UnixMs:  time.Now().UnixMilli(),
@@ -34,7 +34,7 @@
 
 // GetManifest returns the configuration in force.
 func (h operatorHandler) GetManifest(ctx context.Context, req *apiv1.GetManifestRequest) (*apiv1.GetManifestResponse, error) {
-	resp, err := serve(ctx, h.s, req.GetCluster(),
+	resp, err := serve(ctx, h.s, "get_manifest", req.GetCluster(),
 		func(l *leader) (*apiv1.GetManifestResponse, error) {
 			conf := l.s.machine.Config()
 			return &apiv1.GetManifestResponse{
@@ -51,7 +51,7 @@
 
 // History returns accepted changes in the order of their numbers.
 func (h operatorHandler) History(ctx context.Context, req *apiv1.HistoryRequest) (*apiv1.HistoryResponse, error) {
-	resp, err := serve(ctx, h.s, req.GetCluster(),
+	resp, err := serve(ctx, h.s, "history", req.GetCluster(),
 		func(l *leader) (*apiv1.HistoryResponse, error) {
 			limit := int(min(req.GetLimit(), maxHistory))
 			if limit == 0 {
@@ -67,7 +67,7 @@
 
 // Status returns the state of the fleet as the leader sees it.
 func (h operatorHandler) Status(ctx context.Context, req *apiv1.StatusRequest) (*apiv1.StatusResponse, error) {
-	resp, err := serve(ctx, h.s, req.GetCluster(),
+	resp, err := serve(ctx, h.s, "status", req.GetCluster(),
 		func(l *leader) (*apiv1.StatusResponse, error) { return l.status(time.Now()), nil },
 		func(ctx context.Context, e *client.Endpoint) (*apiv1.StatusResponse, error) {
 			return e.Operator.Status(ctx, req)
@@ -120,7 +120,7 @@
 
 // ChangeMember adds or removes one control host.
 func (h operatorHandler) ChangeMember(ctx context.Context, req *apiv1.ChangeMemberRequest) (*apiv1.ChangeMemberResponse, error) {
-	resp, err := serve(ctx, h.s, req.GetCluster(),
+	resp, err := serve(ctx, h.s, "change_member", req.GetCluster(),
 		func(l *leader) (*apiv1.ChangeMemberResponse, error) { return l.changeMember(ctx, req) },
 		func(ctx context.Context, e *client.Endpoint) (*apiv1.ChangeMemberResponse, error) {
 			return e.Operator.ChangeMember(ctx, req)
@@ -153,7 +153,7 @@
 
 // DrainHost asks an entry host to leave, or takes that back.
 func (h operatorHandler) DrainHost(ctx context.Context, req *apiv1.DrainHostRequest) (*apiv1.DrainHostResponse, error) {
-	resp, err := serve(ctx, h.s, req.GetCluster(),
+	resp, err := serve(ctx, h.s, "drain_host", req.GetCluster(),
 		func(l *leader) (*apiv1.DrainHostResponse, error) {
 			l.fleet.SetDrain(req.GetHost(), !req.GetCancel())
 			l.logger.Info().Str("decision", "drain").Str("drained_host", req.GetHost()).Bool("cancel", req.GetCancel()).Msg("drain")
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -82,7 +82,9 @@
 	defer cancel()
 	begun := time.Now()
 	load, err := o.client(b).Scrape(ctx)
+	o.l.s.metrics.scrapes.Add(1)
 	if err != nil {
+		o.l.s.metrics.failedScrapes.Add(1)
 		o.l.logger.Warn().Err(err).Str("engine", b.GetName()).Msg("scrape failed")
 		o.l.fleet.ScrapeFailed(b.GetName())
 		return
@@ -138,8 +140,10 @@
 		err = o.client(b).Unload(ctx, msg)
 		o.l.fleet.UnloadDone(order, err != nil, time.Now())
 	}
+	o.l.s.metrics.orders.Add(order.Kind.String(), 1)
 	event := o.l.logger.Info()
 	if err != nil {
+		o.l.s.metrics.failedOrders.Add(order.Kind.String(), 1)
 		event = o.l.logger.Warn().Err(err)
 	}
 	event.Str("order", order.Kind.String()).Str("engine", order.Engine).Str("adapter", order.Ref.Adapter).
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net/http"
 	"sync"
 	"time"
@@ -65,6 +66,7 @@
 	syncView  *view.Server
 	freshness *freshness
 	heard     heard
+	metrics   *metrics
 
 	background sync.WaitGroup
 
@@ -89,6 +91,7 @@
 		machine:   state.New(),
 		pools:     pool.NewSet(pool.Options{}),
 		endpoints: map[string]*client.Endpoint{},
+		metrics:   newMetrics(),
 	}
 	s.transport = newTransport(s)
 	s.replica, err = replica.New(replica.Options{
@@ -119,6 +122,7 @@
 	mux.Handle(apiv1connect.NewRateServiceHandler(rateHandler{s}, opts...))
 	mux.Handle(apiv1connect.NewCallServiceHandler(callHandler{s}, opts...))
 	mux.Handle(apiv1connect.NewOperatorServiceHandler(operatorHandler{s}, opts...))
+	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	return mux
 }
@@ -192,6 +196,7 @@
 	}
 	if s.leader == nil && lease.Held {
 		s.leader = newLeader(ctx, s, lease.Term, now)
+		s.metrics.terms.Add(1)
 		s.logger.Info().Uint64("term", lease.Term).Msg("leading")
 	}
 	return s.leader
--- a/internal/devfleet/fleet.go
+++ b/internal/devfleet/fleet.go
@@ -24,6 +24,9 @@
 // Cluster is the name of the development fleet.
 const Cluster = "dev"
 
+// secretText is the cluster secret. It is public and protects nothing.
+const secretText = "development-secret-not-for-production"
+
 const (
 	// stopTimeout bounds the graceful stop of an entry host.
 	stopTimeout = 30 * time.Second
@@ -102,7 +105,7 @@
 	opts = opts.withDefaults()
 	ctx, cancel := context.WithCancel(ctx)
 	f := &Fleet{Options: opts, ctx: ctx, cancel: cancel, SecretFile: filepath.Join(opts.Dir, "secret")}
-	err := os.WriteFile(f.SecretFile, []byte("development-secret-not-for-production"), 0o600)
+	err := os.WriteFile(f.SecretFile, []byte(secretText), 0o600)
 	if err == nil {
 		err = errors.Join(f.startBackends(), f.startControls(), f.startEntries())
 	}
--- a/internal/placement/drains.go
+++ b/internal/placement/drains.go
@@ -35,7 +35,7 @@
 		}
 	}
 	b := p.x.bases[base]
-	need := min(len(mine), p.opts.MaxStarts) + p.opts.Spare - b.free - b.draining
+	need := min(len(mine), p.opts.MaxStarts) + p.spare(b) - b.free - b.draining
 	if need <= 0 {
 		return actions
 	}
@@ -51,6 +51,10 @@
 	return actions
 }
 
+// spare is the number of slots to keep free. Where slots are few, an idle adapter
+// that is still resident is worth more than a slot that is free in advance.
+func (p *Planner) spare(b *baseState) int { return min(p.opts.Spare, b.slots/minSlotsPerSpare) }
+
 // displaces tells whether a load is worth the victim's slot. An idle victim
 // gives way to waiting requests; without them, the demand decides.
 func (p *Planner) displaces(missing []want, v victim) bool {
--- a/internal/placement/loads.go
+++ b/internal/placement/loads.go
@@ -150,7 +150,7 @@
 	if p.x.team(r.team).full() {
 		return -1
 	}
-	if w.reason != ReasonWaiting && p.x.base(r.demand.BaseModel).free <= p.opts.Spare {
+	if w.reason != ReasonWaiting && p.x.base(r.demand.BaseModel).free <= p.spare(p.x.base(r.demand.BaseModel)) {
 		return -1
 	}
 	return p.engineFor(r)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -115,6 +115,10 @@
 	ReasonTeamBound  = "team is at its slot bound"
 )
 
+// minSlotsPerSpare is the number of slots of a base model that one spare slot
+// takes at least. With 4 spare slots, a base model of 2 slots held nothing idle.
+const minSlotsPerSpare = 8
+
 // Options sets the planner's constants. Zero fields take the default.
 type Options struct {
 	// MaxInFlight and MaxStarts are the weight store's limits: loads at once at
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -282,3 +282,14 @@
 	}
 	return s
 }
+
+// Guards against a small pool that drains every idle adapter to keep slots free,
+// and against a large pool without a free slot for the next load.
+func TestSpareSlots(t *testing.T) {
+	must.Eq(t, "", text(NewPlanner(Options{}).Plan(Snapshot{Now: epoch, Engines: []Engine{engine("e1", "x")}})))
+	var engines []Engine
+	for i := range 8 {
+		engines = append(engines, engine(fmt.Sprint("e", i), fmt.Sprint("x", i), fmt.Sprint("y", i)))
+	}
+	must.Len(t, 2, NewPlanner(Options{}).Plan(Snapshot{Now: epoch, Engines: engines}))
+}
--- a/internal/roles/control.go
+++ b/internal/roles/control.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"net/http"
 	"time"
@@ -54,6 +55,7 @@
 	if err != nil {
 		return err
 	}
+	publish("control."+s.Host, srv.Metrics())
 	logger.Info().Str("listen", listener.Addr().String()).Msg("control host starts")
 	g, gctx := errgroup.WithContext(ctx)
 	web := p.Server(listener.Addr().String(), srv.Handler())
@@ -73,6 +75,14 @@
 	return err
 }
 
+// publish makes counters visible under /debug/vars. A name stays with its first
+// owner: a role that restarts within a development fleet is not shown again.
+func publish(name string, v expvar.Var) {
+	if expvar.Get(name) == nil {
+		expvar.Publish(name, v)
+	}
+}
+
 func shutdown(web *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -68,6 +68,7 @@
 		Seed:          incarnation,
 		Limits:        entry.Limits{BalancerDelay: s.BalancerDelay},
 	})
+	publish("entry."+s.Host, h.server.Metrics())
 	h.agent = agent.New(agent.Options{
 		Cluster:       s.Cluster,
 		Host:          s.Host,
--- a/internal/session/process_test.go
+++ b/internal/session/process_test.go
@@ -119,13 +119,13 @@
 	ts.Check(ts.Exec("jasminectl", "apply", "-number", "1", "-author", "ana", "-wait", "30s", "fleet.yaml"))
 }
 
-// control starts the control host with the number: control N [MEMBERS]. Without
-// members it joins a cluster that exists.
+// control starts the control host with the number. The variables MEMBERS and
+// PLATFORM_URL are passed on.
 func control(ts *testscript.TestScript, _ bool, args []string) {
 	n := args[0]
 	listen := ts.Getenv("C" + n)
 	start(ts, false, []string{"c" + n, "jasmine-control", "-host", "c" + n, "-failure-domain", "d" + n,
-		"-listen", listen, "-advertise", "http://" + listen, "-data-dir", "data-c" + n, "-members", ts.Getenv("MEMBERS")})
+		"-listen", listen, "-advertise", "http://" + listen, "-data-dir", "data-c" + n, "-members", ts.Getenv("MEMBERS"), "-platform-url", ts.Getenv("PLATFORM_URL")})
 }
 
 // entry starts the entry host with the number.
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -36,6 +36,7 @@
 		"jasmine-load":    func() { program.Main(loadRun) },
 		"call":            func() { program.Main(call) },
 		"forward":         func() { program.Main(forward) },
+		"platform-list":   func() { program.Main(platformList) },
 	})
 }
 
