Give each session script a loopback address of its own

Change: each script binds to a random address of 127.0.0.0/8, where no outgoing connection has its source.

--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -5,6 +5,8 @@
 
 import (
 	"flag"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"regexp"
@@ -61,6 +63,7 @@
 			all := processes{}
 			env.Values[processesKey{}] = all
 			env.Defer(all.killAll)
+			env.Setenv("LOOPBACK", loopback())
 			env.Setenv("BIN", strings.Split(env.Getenv("PATH"), string(os.PathListSeparator))[0])
 			env.Setenv("JASMINE_CLUSTER", "golden")
 			env.Setenv("HASH_NORTH", manifest.HashText("jsk_north_0123456789abcdef"))
@@ -71,11 +74,14 @@
 	})
 }
 
-// ports sets each named variable to a loopback address with a free port.
+// ports sets each named variable to a free address. Each script has a loopback
+// address of its own: on 127.0.0.1, a port that was found free could be taken by
+// an outgoing connection of another script before its program listens.
 func ports(ts *testscript.TestScript, neg bool, args []string) {
+	ip := ts.Getenv("LOOPBACK")
 	var open []net.Listener
 	for _, name := range args {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", ip+":0")
 		ts.Check(err)
 		open = append(open, l)
 		ts.Setenv(name, l.Addr().String())
@@ -86,6 +92,11 @@
 	}
 }
 
+// loopback returns a random address of the loopback network.
+func loopback() string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+}
+
 // expand replaces the variables in files.
 func expand(ts *testscript.TestScript, neg bool, args []string) {
 	for _, name := range args {
@@ -142,7 +153,7 @@
 	pattern *regexp.Regexp
 	with    string
 }{
-	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDR"},
+	{regexp.MustCompile(`127(\.\d+){3}:\d+`), "ADDR"},
 	{regexp.MustCompile(`e\d-[0-9a-z]+-[0-9a-z]+`), "REQUEST"},
 	{regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+Z`), "TIME"},
 	{regexp.MustCompile(`heard=\d+ms`), "heard=MS"},
