Copy a repeated Borrow answer before changing it

Cause: a resend that arrives after its lease has expired gets an answer without tokens. The lender changed the kept answer, which another goroutine may still be sending.

--- a/internal/rate/lender.go
+++ b/internal/rate/lender.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 )
 
@@ -131,7 +133,9 @@
 // repeat answers a resend. A lease that expired in between is withdrawn, since
 // its tokens count as spent.
 func (l *Lender) repeat(h *holder, now time.Time) *apiv1.BorrowResponse {
-	for _, g := range h.answer.GetGrants() {
+	// The first answer may still be on its way out.
+	answer := proto.CloneOf(h.answer)
+	for _, g := range answer.GetGrants() {
 		ls := l.leaseOf(g.GetTeam(), h.key, now)
 		if ls == nil || ls.withdrawn {
 			g.Granted, g.ValidMs = 0, 0
@@ -139,7 +143,7 @@
 		}
 		ls.expires = now.Add(lenderValid)
 	}
-	return h.answer
+	return answer
 }
 
 func (l *Lender) leaseOf(team string, key holderKey, now time.Time) *lease {
--- a/internal/rate/rate_test.go
+++ b/internal/rate/rate_test.go
@@ -327,3 +327,17 @@
 		must.Between(t, share*4/5, n, share*6/5)
 	}
 }
+
+// Guards against an answer that changes, when its request arrives again later,
+// while the first copy is being sent.
+func TestAnswersAreSeparate(t *testing.T) {
+	l := NewLender(1, epoch)
+	l.SetTeams(teams(100, 400), epoch)
+	a := NewAccount("a", 1)
+	now := epoch.Add(time.Minute)
+	a.Want("a", 100)
+	req := a.Request(now)
+	first := l.Borrow(req, now)
+	must.Zero(t, l.Borrow(req, now.Add(3*time.Second)).GetGrants()[0].GetGranted())
+	must.Eq(t, 100, first.GetGrants()[0].GetGranted())
+}
