Give the planner what it needs: others' load, teams of residents, urgent borrowing

Routing counted a host's own requests twice, since the load of other hosts was not told apart; adapters without recent demand had no team, so that a team's slot bound missed them; and tokens were borrowed every 200 ms whether requests lacked them or not.

Change: the load of other hosts is the reported load less the own part; residents keep their demand entry; Borrow is sent within 50 ms while requests lack tokens and every 250 ms otherwise.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -22,7 +22,10 @@
 	reportInterval = 250 * time.Millisecond
 	// borrowInterval is the time between two Borrow calls. Grants last 2 s, so
 	// that several calls may be lost before tokens expire.
-	borrowInterval = 200 * time.Millisecond
+	borrowInterval = 250 * time.Millisecond
+	// urgentInterval is the least time between two Borrow calls, and the time
+	// between them while queued requests lack tokens.
+	urgentInterval = 50 * time.Millisecond
 	// callTimeout bounds one report or Borrow over all tries.
 	callTimeout = time.Second
 	// releaseTimeout bounds the return of tokens at a planned stop.
@@ -59,6 +62,8 @@
 type Agent struct {
 	opts  Options
 	entry Entry
+	// borrowed is when the last Borrow was sent; it belongs to the borrow loop.
+	borrowed time.Time
 }
 
 // New returns an agent that reports for entry.
@@ -71,7 +76,7 @@
 func (a *Agent) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return every(ctx, reportInterval, a.report) })
-	g.Go(func() error { return every(ctx, borrowInterval, a.borrow) })
+	g.Go(func() error { return every(ctx, urgentInterval, a.borrowWhenDue) })
 	err := g.Wait()
 	a.release(context.WithoutCancel(ctx))
 	return err
@@ -113,6 +118,16 @@
 	}
 }
 
+// borrowWhenDue borrows at the interval, and at once when requests lack tokens.
+func (a *Agent) borrowWhenDue(ctx context.Context) {
+	now := time.Now()
+	if now.Sub(a.borrowed) < borrowInterval && !a.opts.Account.Lacking() {
+		return
+	}
+	a.borrowed = now
+	a.borrow(ctx)
+}
+
 func (a *Agent) borrow(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/entry/candidates.go
+++ b/internal/entry/candidates.go
@@ -74,6 +74,7 @@
 		}
 		c.Running, c.Queued = int(row.status.GetRunning()), int(row.status.GetQueued())
 		c.ReportAge = row.loadAge(now)
+		c.Others = max(0, c.Running+c.Queued-d.ownAtReport[name])
 	}
 	if w.ref != nil && len(d.missing) > 0 {
 		if until, ok := d.missing[missingKey{name, w.model}]; ok && now.Before(until) {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -27,9 +27,11 @@
 	outliers *outlier.Detector
 	rng      *rand.Rand
 	inFlight map[string]*inFlight
-	demand   map[string]*demand
-	blocked  blockedGroups
-	pace     pace
+	// ownAtReport is the number of own requests on an engine when its load came.
+	ownAtReport map[string]int
+	demand      map[string]*demand
+	blocked     blockedGroups
+	pace        pace
 	// coldCost is the cost of the queued requests that wait for a load.
 	coldCost uint64
 	// hot is the number of queued requests that wait for a free engine only.
@@ -66,9 +68,12 @@
 		outliers: outlier.NewDetector(outlier.Defaults()),
 		rng:      rand.New(rand.NewPCG(s.opts.Seed, 1)),
 		inFlight: map[string]*inFlight{},
-		demand:   map[string]*demand{},
-		missing:  map[missingKey]time.Time{},
-		cooling:  map[string]time.Time{},
+
+		ownAtReport: map[string]int{},
+
+		demand:  map[string]*demand{},
+		missing: map[missingKey]time.Time{},
+		cooling: map[string]time.Time{},
 	}
 	d.tokens.init()
 	d.blocked.init()
@@ -100,6 +105,7 @@
 		d.blocked.unblock(model)
 	}
 	for _, st := range resp.GetEngines() {
+		d.noteOwn(st.GetName())
 		b, _ := d.cfg.BackendServer(st.GetName())
 		d.blocked.unblock(b.GetBaseModel())
 		if n := st.GetRunning(); n > 0 {
@@ -112,6 +118,15 @@
 	}
 }
 
+// noteOwn keeps the host's own part of an engine's reported load, so that what
+// is left is the part of other hosts.
+func (d *dispatch) noteOwn(name string) {
+	delete(d.ownAtReport, name)
+	if load := d.inFlight[name]; load != nil && load.total > 0 {
+		d.ownAtReport[name] = load.total
+	}
+}
+
 // forgetRestarted drops the prefixes believed cached on engines that started
 // anew.
 func (d *dispatch) forgetRestarted(resp *apiv1.ReportResponse) {
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -87,6 +87,27 @@
 	return count, oldest
 }
 
+// expireDemand drops idle entries. An adapter that is resident keeps its entry,
+// since the planner needs its team and its last demand to choose what to drain.
+func (t *Table) expireDemand(now time.Time) {
+	resident := map[Ref]bool{}
+	for _, e := range t.engines {
+		for ref := range e.slots {
+			resident[ref] = true
+		}
+	}
+	for ref, d := range t.demand {
+		if d.idle(now) && !resident[ref] {
+			delete(t.demand, ref)
+		}
+	}
+	for ref := range resident {
+		if t.demand[ref] == nil && t.published(ref) {
+			t.demand[ref] = &demand{waiting: map[string]hostDemand{}, at: now}
+		}
+	}
+}
+
 func (d *demand) idle(now time.Time) bool {
 	return len(d.waiting) == 0 && d.rateAt(now) < minArrivals
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -36,6 +36,9 @@
 	demandHalfLife = 40 * time.Second
 	// minArrivals is the rate, per second, below which idle demand is dropped.
 	minArrivals = 0.001
+	// expireInterval is the time between two removals of idle demand, whose cost
+	// follows the number of resident adapters.
+	expireInterval = time.Second
 	// failureKept is how long load failures are remembered for backoff.
 	failureKept = 5 * time.Minute
 	// loadStartsKept is how long the start of a load counts against the store's rate.
@@ -75,8 +78,10 @@
 	hosts       map[string]*host
 	engines     map[string]*engine
 	demand      map[Ref]*demand
-	failures    map[failureKey]*failure
-	starts      []time.Time
+	// demandExpired is when idle demand was last dropped.
+	demandExpired time.Time
+	failures      map[failureKey]*failure
+	starts        []time.Time
 	// leaving holds the backend servers that the platform's list calls leaving.
 	leaving map[string]bool
 	// drains holds the hosts that an operator asked to leave.
@@ -172,10 +177,9 @@
 			delete(t.hosts, name)
 		}
 	}
-	for ref, d := range t.demand {
-		if d.idle(now) {
-			delete(t.demand, ref)
-		}
+	if now.Sub(t.demandExpired) >= expireInterval {
+		t.demandExpired = now
+		t.expireDemand(now)
 	}
 	for k, f := range t.failures {
 		if now.Sub(f.at) > failureKept {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -162,3 +162,20 @@
 	waiting, _ = f.t.total(f.t.demand[testRef], f.now.Add(LiveBound+1))
 	must.Eq(t, 0, waiting)
 }
+
+// A resident adapter without a demand entry would have no team in the plan, and
+// the team's slot bound would not count it.
+func TestResidentKeepsDemand(t *testing.T) {
+	f := newFixture()
+	f.t.Report(&apiv1.ReportRequest{Host: "h", Incarnation: 1, Demand: []*apiv1.AdapterDemand{
+		{Ref: testRef.Message(), Waiting: 1, Team: "t"},
+		{Ref: (Ref{"a", "2"}).Message(), Waiting: 1, Team: "t"},
+	}}, f.now)
+	f.report("h", 0, 0)
+	f.now = f.now.Add(time.Hour)
+	f.t.Tick(f.now)
+	plan := f.t.Snapshot(f.now)
+	must.Len(t, 1, plan.Demand)
+	must.Eq(t, "t", plan.Demand[0].Team)
+	must.Eq(t, "m", plan.Demand[0].BaseModel)
+}
--- a/internal/rate/account.go
+++ b/internal/rate/account.go
@@ -107,6 +107,19 @@
 	a.purse(team).queued = tokens
 }
 
+// Lacking tells whether queued requests of any team lack tokens, so that the
+// next Borrow is urgent.
+func (a *Account) Lacking() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, p := range a.teams {
+		if p.queued > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Request returns the next Borrow request. An answer to an earlier request is
 // ignored from here on.
 func (a *Account) Request(now time.Time) *apiv1.BorrowRequest {
