Measure the added time of the whole path against a bare hop

jasmine-bench hop sends the same load straight to a stand-in engine and through an entry host of a development fleet, in one run, checks every answer and fails when one is lost, doubled or wrong.

--- a/cmd/jasmine-bench/main.go
+++ b/cmd/jasmine-bench/main.go
@@ -1,5 +1,6 @@
-// Command jasmine-bench measures the decision code. The subcommand policy runs
-// it on virtual time beside its baselines.
+// Command jasmine-bench measures the project. The subcommand policy runs the
+// decision code on virtual time beside its baselines, and hop compares requests
+// through an entry host with a bare hop.
 package main
 
 import (
@@ -31,7 +32,7 @@
 		Name:        "jasmine-bench",
 		ShortUsage:  "jasmine-bench SUBCOMMAND [flags]",
 		FlagSet:     flag.NewFlagSet("jasmine-bench", flag.ContinueOnError),
-		Subcommands: []*ffcli.Command{policyCommand(out)},
+		Subcommands: []*ffcli.Command{policyCommand(out), hopCommand(out)},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
--- a/internal/devfleet/openai_test.go
+++ b/internal/devfleet/openai_test.go
@@ -1,22 +1,14 @@
 package devfleet
 
 import (
-	"context"
 	"errors"
 	"testing"
-	"time"
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
-	"github.com/shoenig/test/wait"
 
-	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
-	"github.com/jasminesaddle/jasminesaddle/internal/api/v1/apiv1connect"
-	"github.com/jasminesaddle/jasminesaddle/internal/client"
-	"github.com/jasminesaddle/jasminesaddle/internal/roles"
-	"github.com/jasminesaddle/jasminesaddle/internal/settings"
 	"github.com/jasminesaddle/jasminesaddle/internal/standin"
 )
 
@@ -26,7 +18,7 @@
 	fleet, err := Start(t.Context(), Options{Dir: t.TempDir(), Logger: zerolog.Nop()})
 	must.NoError(t, err)
 	defer func() { must.NoError(t, fleet.Close()) }()
-	publish(t, fleet)
+	must.NoError(t, fleet.Publish(t.Context(), fleet.Manifest()))
 	model := AdapterName(3)
 	c := openai.NewClient(option.WithBaseURL(fleet.Entries[0].URL+"/v1"), option.WithAPIKey(KeyLarge), option.WithMaxRetries(0))
 
@@ -61,21 +53,3 @@
 	must.Eq(t, 404, refusal.StatusCode)
 	must.Eq(t, "unknown_adapter", refusal.Code)
 }
-
-// publish puts the sample manifest in force and waits until an entry host has it.
-func publish(t *testing.T, f *Fleet) {
-	p, err := roles.NewPeer(Cluster, settings.Security{Secret: []byte(secretText)})
-	must.NoError(t, err)
-	control := client.NewControl(p, f.ControlURLs(), 5*time.Second)
-	must.Wait(t, wait.InitialSuccess(wait.Timeout(time.Minute), wait.Gap(50*time.Millisecond), wait.ErrorFunc(func() error {
-		_, err := client.Operator(t.Context(), control, func(ctx context.Context, o apiv1connect.OperatorServiceClient) (*apiv1.ApplyResponse, error) {
-			return o.Apply(ctx, &apiv1.ApplyRequest{Cluster: Cluster, Change: &apiv1.ChangeCommand{Number: 1, Manifest: f.Manifest()}})
-		})
-		return err
-	})))
-	c := openai.NewClient(option.WithBaseURL(f.Entries[0].URL+"/v1"), option.WithAPIKey(KeyLarge), option.WithMaxRetries(0))
-	must.Wait(t, wait.InitialSuccess(wait.Timeout(time.Minute), wait.Gap(50*time.Millisecond), wait.ErrorFunc(func() error {
-		_, err := c.Models.List(t.Context())
-		return err
-	})))
-}
