view: limit log lines and requests during an outage

While all sources fail, a host wrote up to 10 warnings a second per source and asked each source every 100 ms; a control host that starts again would get that from every host at once. The pause now grows to 500 ms over five rounds, and lines after the first round are for debugging.

--- a/internal/calls/table.go
+++ b/internal/calls/table.go
@@ -68,7 +68,7 @@
 // Only the request that created the record gets begun. A resend of it gets the
 // record with its own request id: the table cannot tell whether the sender has
 // sent the call since, so the sender decides. An invalid call is not begun and
-// has no state.
+// has no state. The answer in the response is shared and must not be changed.
 func (t *Table) Begin(call *apiv1.BeginCall, nowUnixMs int64) *apiv1.BeginCallResponse {
 	if Validate(call) != nil {
 		return &apiv1.BeginCallResponse{}
--- a/internal/view/exchange.go
+++ b/internal/view/exchange.go
@@ -5,6 +5,8 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/config"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
@@ -27,12 +29,15 @@
 		err = v.apply(resp, sent, received)
 	}
 	if err != nil {
-		v.opts.Logger.Warn().Err(err).Int("source", v.source).Uint64("revision", before).Msg("sync failed")
+		v.warn().Err(err).Uint64("revision", before).Msg("sync failed")
 		return v.failed(received)
 	}
+	if v.failures > 0 {
+		v.opts.Logger.Info().Int("failures", v.failures).Int("source", v.source).Msg("sync works again")
+	}
 	v.failures = 0
 	if age := time.Duration(resp.GetAgeMs()) * time.Millisecond; age > v.opts.MaxSourceAge {
-		v.opts.Logger.Warn().Dur("age", age).Int("source", v.source).Msg("the source has an old view")
+		v.warn().Dur("age", age).Msg("the source has an old view")
 		return v.failed(received)
 	}
 	if v.Config().Revision != before || v.needFull {
@@ -64,13 +69,26 @@
 	return req
 }
 
-// failed moves to the next source. After a round without success it pauses.
+// warn starts a log line about the current source. After the first round of
+// failures the lines are for debugging only, because they repeat several times a
+// second during an outage.
+func (v *View) warn() *zerolog.Event {
+	level := zerolog.WarnLevel
+	if v.failures >= len(v.opts.Sources) {
+		level = zerolog.DebugLevel
+	}
+	return v.opts.Logger.WithLevel(level).Int("source", v.source)
+}
+
+// failed moves to the next source. After each round without success it pauses,
+// longer with each of the first rounds, so that the hosts do not overload a
+// control host that starts again.
 func (v *View) failed(now time.Time) time.Duration {
 	v.source = (v.source + 1) % len(v.opts.Sources)
 	v.movedAt = now
 	v.failures++
 	if v.failures%len(v.opts.Sources) == 0 {
-		return v.opts.Pause
+		return v.opts.Pause * time.Duration(min(v.failures/len(v.opts.Sources), maxPauses))
 	}
 	return 0
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/api/v1/apiv1connect"
 	"github.com/jasminesaddle/jasminesaddle/internal/config"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 )
@@ -28,6 +29,9 @@
 	defaultMaxAge  = 2 * time.Second
 	defaultReturn  = 30 * time.Second
 	defaultSpacing = 250 * time.Millisecond
+	// maxPauses limits the growth of the pause to 500 ms, a fraction of the 4 s
+	// after which a host refuses keyed routes.
+	maxPauses = 5
 	// maxRelayed bounds the changes kept for hosts that sync from this one.
 	maxRelayed      = 8192
 	maxRelayedBytes = 8 << 20
@@ -38,6 +42,13 @@
 	Sync(context.Context, *apiv1.SyncRequest) (*apiv1.SyncResponse, error)
 }
 
+// The connect client of the service is a Source, and the Server its handler.
+var (
+	_ Source                            = apiv1connect.ConfigServiceClient(nil)
+	_ apiv1connect.ConfigServiceHandler = (*Server)(nil)
+	_ Provider                          = (*View)(nil)
+)
+
 // Options configure a View. Zero durations select the defaults.
 type Options struct {
 	Cluster string
@@ -53,7 +64,7 @@
 	Margin time.Duration
 	// FullTimeout bounds an exchange that asks for the whole configuration.
 	FullTimeout time.Duration
-	// Pause separates failed exchanges after all sources have been tried.
+	// Pause is the first pause after all sources have failed. It grows five times.
 	Pause time.Duration
 	// MaxSourceAge is the age of a source's own view from which the next source is
 	// asked. It detects relays that have lost their own sources, and loops of relays.
