Fix removal of a leader by itself and hellos for a lost disk; test replicas

Cause: longer model runs and directed tests found two faults. (2) A hello that was sent for a host's lost disk made the host stop as "rolled back" when it already ran on a new disk.

Change: a node also campaigns while its removal is not known to be committed, and a hello names the disk identity that its seen run belongs to (consensus.proto, generated again). The model stops a restored host on such a hello as the driver does; before let members that joined later follow it, which docs/decisions/0001-agreement.md lists as a limit.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -44,6 +44,22 @@
 	n.role, n.leader, n.votes = Follower, leader, nil
 }
 
+// mayCampaign tells whether the node is a voter in the committed member set or
+// in a later one. A voter that holds its own uncommitted removal may have the
+// only log that can win, and must then lead until the removal is committed.
+func (n *Node) mayCampaign() bool {
+	sets := n.log.members
+	for i := len(sets) - 1; i >= 0; i-- {
+		if isVoter(sets[i].set, n.id) {
+			return true
+		}
+		if sets[i].index <= n.log.commit {
+			break
+		}
+	}
+	return false
+}
+
 // preCampaign asks whether an election could be won, without entering a new
 // term, so that an isolated host does not disturb the others on its return.
 func (n *Node) preCampaign() {
--- a/internal/consensus/model_test.go
+++ b/internal/consensus/model_test.go
@@ -18,7 +18,7 @@
 // override them.
 const (
 	modelSeed   = "20261204"
-	modelChecks = "40"
+	modelChecks = "400"
 )
 
 func setFlag(t *testing.T, name, env, value string) {
@@ -35,7 +35,7 @@
 func TestModel(t *testing.T) {
 	setFlag(t, "rapid.seed", "JASMINE_MODEL_SEED", modelSeed)
 	setFlag(t, "rapid.checks", "JASMINE_MODEL_CHECKS", modelChecks)
-	setFlag(t, "rapid.steps", "JASMINE_MODEL_STEPS", "150")
+	setFlag(t, "rapid.steps", "JASMINE_MODEL_STEPS", "200")
 	setFlag(t, "rapid.nofailfile", "JASMINE_MODEL_NOFAILFILE", "true")
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
@@ -45,6 +45,7 @@
 			"propose": m.propose,
 			"crash":   m.crash,
 			"restart": m.restart,
+			"reset":   m.restartAll,
 			"network": m.network,
 			"cut":     m.cutLinks,
 			"isolate": m.isolateLeader,
@@ -108,6 +109,23 @@
 	}
 }
 
+// restartAll restarts all hosts at once, each after its next save or at once.
+func (m *model) restartAll(t *rapid.T) {
+	point := rapid.SampledFrom([]crashPoint{noCrash, beforeSave, afterSave}).Draw(t, "point")
+	for _, h := range m.w.hosts {
+		h.crash = point
+		if point == noCrash {
+			h.node = nil
+		}
+	}
+	m.passTime(t)
+	for _, h := range m.w.hosts {
+		if h.node == nil {
+			m.w.start(h)
+		}
+	}
+}
+
 func (m *model) network(t *rapid.T) {
 	m.w.loss = rapid.SampledFrom([]float64{0, 0, 0.1, 0.5}).Draw(t, "loss")
 	m.w.dup = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "doubled")
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -173,7 +173,7 @@
 		return
 	}
 	n.resetElection()
-	if isVoter(n.Members(), n.id) {
+	if n.mayCampaign() {
 		n.preCampaign()
 	}
 }
--- a/internal/consensus/world_test.go
+++ b/internal/consensus/world_test.go
@@ -92,8 +92,11 @@
 	disk     string
 	run      Run
 	earlier  []Run
-	// message is nil in a hello, which carries the earlier runs.
-	message *apiv1.LogMessage
+	// message is nil in a hello, which carries the earlier runs and what the
+	// sender has seen of the receiver.
+	message  *apiv1.LogMessage
+	seen     *Run
+	seenDisk string
 }
 
 type committed struct{ term, chain uint64 }
@@ -223,6 +226,9 @@
 	p := packet{from: h.name, to: w.hosts[i].name, disk: h.disk.id, run: h.run, message: m}
 	if m == nil {
 		p.earlier = h.earlier
+		if seen, ok := h.runs[to]; ok {
+			p.seen, p.seenDisk = &seen, to
+		}
 	}
 	p.run.Saves = h.disk.saves
 	for range 2 {
@@ -264,6 +270,16 @@
 	case NewRun:
 		h.disk.save(Ready{}, h.runs)
 	}
+	// The driver stops for good when a peer shows that its disk is an old copy.
+	own := h.run
+	own.Saves = h.disk.saves
+	if p.seen != nil && p.seenDisk == h.disk.id && !Continues(own, h.earlier, *p.seen) {
+		if !h.refused {
+			w.fail("%s was refused on its own disk", h.name)
+		}
+		h.node = nil
+		return
+	}
 	if p.message != nil {
 		h.node.Step(w.clock(h), proto.Clone(p.message).(*apiv1.LogMessage))
 		w.process(h)
@@ -280,14 +296,14 @@
 	for h.node.HasReady() {
 		rd := h.node.Ready()
 		w.sendAll(h, rd.Early)
-		if w.crashed(h, beforeSave) {
-			return
-		}
 		if rd.HardState != nil || rd.Snapshot != nil || len(rd.Entries) > 0 {
+			if w.crashed(h, beforeSave) {
+				return
+			}
 			h.disk.save(rd, h.runs)
-		}
-		if w.crashed(h, afterSave) {
-			return
+			if w.crashed(h, afterSave) {
+				return
+			}
 		}
 		w.sendAll(h, rd.Messages)
 		if w.crashed(h, afterSend) {
@@ -403,9 +419,10 @@
 
 func (w *world) compact(h *simHost) {
 	crash := h.crash == beforeCompactSave
-	var data [8]byte
-	binary.BigEndian.PutUint64(data[:], h.chain)
-	s, keep := h.node.Compact(h.applied, data[:], 5)
+	// The state takes five chunks of a snapshot.
+	data := make([]byte, 450)
+	binary.BigEndian.PutUint64(data, h.chain)
+	s, keep := h.node.Compact(h.applied, data, 5)
 	if crash {
 		w.crashed(h, beforeCompactSave)
 		return
@@ -461,7 +478,7 @@
 			continue
 		}
 		s := h.node.Status()
-		text += fmt.Sprintf("%s %s %v term %d last %d commit %d members %v; ", h.name, h.disk.id, s.Role, s.Term, s.Last, s.Commit, voters(h.node.Members()))
+		text += fmt.Sprintf("%s %s refused=%v %v term %d last %d commit %d members %v; ", h.name, h.disk.id, h.refused, s.Role, s.Term, s.Last, s.Commit, voters(h.node.Members()))
 	}
 	return text
 }
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -63,7 +63,7 @@
 		Sender: r.self, Earlier: r.earlier, First: r.boot.first, Started: r.node != nil && r.boot.first != nil,
 	}
 	if seen, ok := r.runs[to]; ok {
-		req.Hello.Seen = encodeRun(seen)
+		req.Hello.Seen, req.Hello.SeenDiskId = encodeRun(seen), to
 	}
 	return req
 }
@@ -141,7 +141,7 @@
 		return nil
 	}
 	own := consensus.Run{Boot: r.id.Boot, Nonce: r.id.Nonce, Saves: r.opts.Store.Saves()}
-	if seen := decodeRun(h.GetSeen()); h.GetSeen() != nil && !consensus.Continues(own, r.id.Earlier, seen) {
+	if seen := decodeRun(h.GetSeen()); h.GetSeenDiskId() == r.id.DiskID && !consensus.Continues(own, r.id.Earlier, seen) {
 		return fault.Newf(fault.KindStorageRolledBack,
 			"replace this member: start it with an empty data folder, add it again and remove this disk identity",
 			"the data folder is an older copy: %s has seen boot %d and save %d of it, and it has boot %d and save %d",
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -56,12 +57,20 @@
 	t    testing.TB
 	dirs map[string]string
 	edit func(*Options)
+	// maxSize bounds the data folders of hosts that are started.
+	maxSize int
 
 	mu   sync.Mutex
 	up   map[string]*host
 	cuts map[string]bool
+	// deaf hosts send but receive nothing.
+	deaf map[string]bool
+	// acked holds what each disk acknowledged last.
+	acked map[string]acknowledged
 }
 
+type acknowledged struct{ match, saves uint64 }
+
 type host struct {
 	*Replica
 	machine *journal
@@ -71,7 +80,14 @@
 }
 
 func newFleet(t testing.TB, edit func(*Options)) *fleet {
-	return &fleet{t: t, dirs: map[string]string{}, up: map[string]*host{}, cuts: map[string]bool{}, edit: edit}
+	f := &fleet{t: t, dirs: map[string]string{}, up: map[string]*host{}, cuts: map[string]bool{}, acked: map[string]acknowledged{}, deaf: map[string]bool{}, edit: edit}
+	t.Cleanup(func() {
+		// A failed test leaves hosts running, which would hide its message.
+		for _, h := range f.up {
+			h.cancel()
+		}
+	})
+	return f
 }
 
 // Send delivers a request unless either end is cut off. It implements Transport
@@ -79,8 +95,9 @@
 func (f *fleet) Send(to *apiv1.Member, req *apiv1.StepRequest) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.checkSaved(req)
 	target := f.up[to.GetAddress()]
-	if target == nil || f.cuts[to.GetAddress()] {
+	if target == nil || f.cuts[to.GetAddress()] || f.deaf[to.GetAddress()] {
 		return
 	}
 	for name, h := range f.up {
@@ -91,12 +108,43 @@
 	_ = target.Step(context.Background(), req)
 }
 
+// checkSaved fails the test when a follower acknowledges more entries than
+// before without a save in between.
+func (f *fleet) checkSaved(req *apiv1.StepRequest) {
+	last := f.acked[req.GetFromDiskId()]
+	now := acknowledged{match: last.match, saves: req.GetSaves()}
+	for _, m := range req.GetMessages() {
+		if m.GetType() == apiv1.LogMessageType_LOG_MESSAGE_TYPE_APPEND_RESPONSE && !m.GetReject() {
+			now.match = max(now.match, m.GetLogIndex())
+		}
+	}
+	if now.match == last.match {
+		return
+	}
+	if last.match > 0 && now.saves == last.saves {
+		f.t.Errorf("entry %d was acknowledged without a save", now.match)
+	}
+	f.acked[req.GetFromDiskId()] = now
+}
+
+// ended waits until a host has stopped by itself.
+func (f *fleet) ended(h *host) error {
+	f.t.Helper()
+	select {
+	case err := <-h.done:
+		return err
+	case <-time.After(30 * time.Second):
+		f.t.Fatal("the host runs on")
+		return nil
+	}
+}
+
 func (f *fleet) start(name string, first ...string) *host {
 	f.t.Helper()
 	if f.dirs[name] == "" {
 		f.dirs[name] = f.t.TempDir()
 	}
-	store, err := storage.Open(f.dirs[name], storage.Options{})
+	store, err := storage.Open(f.dirs[name], storage.Options{MaxSize: f.maxSize})
 	must.NoError(f.t, err)
 	var list []*apiv1.Member
 	for _, n := range first {
@@ -131,18 +179,23 @@
 	must.NoError(f.t, h.store.Close())
 }
 
-func (f *fleet) stopAll() {
-	for _, name := range slicesOfKeys(f.up) {
-		f.stop(name)
-	}
+// cut takes a host off the network or puts it back.
+func (f *fleet) cut(name string, off bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cuts[name] = off
 }
 
-func slicesOfKeys(m map[string]*host) []string {
-	var names []string
-	for name := range maps.Keys(m) {
-		names = append(names, name)
+func (f *fleet) setDeaf(name string, deaf bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.deaf[name] = deaf
+}
+
+func (f *fleet) stopAll() {
+	for _, name := range slices.Sorted(maps.Keys(f.up)) {
+		f.stop(name)
 	}
-	return names
 }
 
 // await waits in fake time until the condition holds.
@@ -192,7 +245,7 @@
 // changes.
 func TestCommandsSurviveRestartOfAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, nil)
+		f := newFleet(t, func(o *Options) { o.SnapshotEntries = 150 })
 		names := []string{"a", "b", "c"}
 		for _, n := range names {
 			f.start(n, names...)
