Measure how the costs of the roles grow, and work them out for the two-year size

Cause: the design page names limits for control at 1,200 entry hosts and 10,000 engines, and nothing measured whether the packages keep them.

Conclusion: a first working version.

--- a/cmd/jasmine-bench/main.go
+++ b/cmd/jasmine-bench/main.go
@@ -1,5 +1,5 @@
 // Command jasmine-bench measures the decision code. The subcommand policy runs
-// it on virtual time beside its baselines.
+// it on virtual time beside its baselines; capacity measures how its costs grow.
 package main
 
 import (
@@ -31,7 +31,7 @@
 		Name:        "jasmine-bench",
 		ShortUsage:  "jasmine-bench SUBCOMMAND [flags]",
 		FlagSet:     flag.NewFlagSet("jasmine-bench", flag.ContinueOnError),
-		Subcommands: []*ffcli.Command{policyCommand(out)},
+		Subcommands: []*ffcli.Command{policyCommand(out), capacityCommand(out)},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,51 @@
+package capacity
+
+import (
+	"math"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// A measurement that loses points or gives no figure would put a wrong cost on
+// the page, and a table without a place on the page would be lost.
+func TestQuickRunFillsThePage(t *testing.T) {
+	r, err := Run(t.Context(), Options{Quick: true, Dir: t.TempDir(), Progress: func(s string) { t.Log(s) }})
+	must.NoError(t, err)
+	for _, s := range r.Slopes {
+		must.GreaterEq(t, 4, len(s.Points), must.Sprint(s.ID))
+		must.False(t, math.IsNaN(s.Slope) || math.IsInf(s.Slope, 0), must.Sprint(s.ID))
+	}
+	must.Len(t, 4, r.InForce)
+	must.Len(t, 4, r.Restart)
+	page, err := os.ReadFile("../../docs/CAPACITY.md")
+	must.NoError(t, err)
+	tables := r.Tables(TwoYears())
+	text, err := Rewrite(string(page), tables)
+	must.NoError(t, err)
+	for _, table := range tables {
+		must.Positive(t, len(table.Rows), must.Sprint(table.Name))
+		must.StrContains(t, text, table.Markdown())
+		for _, row := range table.Rows {
+			must.Len(t, len(table.Header), row, must.Sprint(table.Name))
+		}
+	}
+	again, err := Rewrite(text, tables)
+	must.NoError(t, err)
+	must.Eq(t, text, again)
+	_, err = Rewrite(strings.Replace(text, "<!-- end entry -->", "", 1), tables)
+	must.Error(t, err)
+}
+
+// A wrong error of a fit would hide how uncertain an extrapolation is. The
+// expected values follow from the formulas for these points.
+func TestFitError(t *testing.T) {
+	s := Fit("x", "", "", "s", []Point{{1, 1}, {2, 3}, {3, 2}, {4, 4}})
+	must.InDelta(t, 0.8, s.Slope, 1e-12)
+	must.InDelta(t, 0.5, s.Intercept, 1e-12)
+	must.InDelta(t, 0.64, s.R2, 1e-12)
+	must.InDelta(t, math.Sqrt(0.9)/math.Sqrt(5), s.SlopeError, 1e-12)
+	must.InDelta(t, math.Sqrt(0.9)*math.Sqrt(0.25+(10-2.5)*(10-2.5)/5), s.At(10).Err, 1e-12)
+}
