Copy only the touched part of a configuration table

Change: the tables use the copy-on-write map; the index entry of a hash is removed only while it belongs to the key that is deleted.

The new test fails without the check of the owner.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -52,3 +52,18 @@
 		must.Eq(t, want, r.GetName(), must.Sprint(path))
 	}
 }
+
+// A change that swaps the hashes of two keys must leave both usable.
+func TestSwappedKeyHashes(t *testing.T) {
+	a, b := "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b", "5e884898da28047151d0e56f8dc6292773603d0d6aabbdd62a11ef721d1542d8"
+	keys := func(first, second string) *apiv1.Manifest {
+		return &apiv1.Manifest{Keys: []*apiv1.Key{{Id: "1", Sha256: first}, {Id: "2", Sha256: second}}}
+	}
+	old, swapped := FromManifest(keys(a, b), 1), FromManifest(keys(b, a), 2)
+	got := old.Apply(2, old.Diff(swapped))
+	for presented, id := range map[string]string{"secret": "2", "password": "1"} {
+		k, ok := got.KeyByHash(HashKey(presented))
+		must.True(t, ok, must.Sprint(presented))
+		must.Eq(t, id, k.GetId())
+	}
+}
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -7,13 +7,11 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
-	"maps"
 	"slices"
 	"strings"
 
-	"google.golang.org/protobuf/proto"
-
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/cowmap"
 )
 
 // KeyHash is the SHA-256 of a key as a caller presents it.
@@ -40,7 +38,7 @@
 	routes     table[*apiv1.Route]
 	backends   table[*apiv1.BackendServer]
 
-	keysByHash  map[KeyHash]*apiv1.Key
+	keysByHash  cowmap.Map[*apiv1.Key] // by the hash's bytes
 	routeOrder  []*apiv1.Route
 	backendList []*apiv1.BackendServer
 	pools       map[string][]*apiv1.BackendServer
@@ -49,16 +47,13 @@
 
 // Empty returns the configuration before the first change.
 func Empty(cluster string) *Snapshot {
-	s := &Snapshot{
-		Cluster:    cluster,
-		baseModels: newTable[*apiv1.BaseModel]("base_models"),
-		adapters:   newTable[*apiv1.Adapter]("adapters"),
-		teams:      newTable[*apiv1.Team]("teams"),
-		keys:       newTable[*apiv1.Key]("keys"),
-		routes:     newTable[*apiv1.Route]("routes"),
-		backends:   newTable[*apiv1.BackendServer]("backend_servers"),
-		keysByHash: map[KeyHash]*apiv1.Key{},
-	}
+	s := &Snapshot{Cluster: cluster}
+	s.baseModels.name = "base_models"
+	s.adapters.name = "adapters"
+	s.teams.name = "teams"
+	s.keys.name = "keys"
+	s.routes.name = "routes"
+	s.backends.name = "backend_servers"
 	s.index()
 	return s
 }
@@ -94,99 +89,126 @@
 }
 
 // Apply returns the snapshot with the ops applied in order, at the revision.
-// Only the tables that the ops touch are copied.
+// Only the parts of the tables that the ops touch are copied.
 func (s *Snapshot) Apply(revision uint64, ops []*apiv1.Op) *Snapshot {
 	next := *s
 	next.Revision = revision
-	w := writer{s: &next}
+	w := newWriter(&next)
 	for _, op := range ops {
 		w.apply(op)
 	}
-	if w.small {
-		next.index()
-	}
+	w.close()
 	return &next
 }
 
-// writer copies each table before its first write.
+// writer applies ops to a snapshot that is being built.
 type writer struct {
-	s                                                *Snapshot
-	baseModels, adapters, teams, keys, routes, backs bool
-	// small is true when a table with derived lists was written.
-	small bool
+	s          *Snapshot
+	baseModels tableEditor[*apiv1.BaseModel]
+	adapters   tableEditor[*apiv1.Adapter]
+	teams      tableEditor[*apiv1.Team]
+	keys       tableEditor[*apiv1.Key]
+	routes     tableEditor[*apiv1.Route]
+	backends   tableEditor[*apiv1.BackendServer]
+	byHash     *cowmap.Editor[*apiv1.Key]
+	// derived is true when a table with derived lists was written.
+	derived bool
+}
+
+func newWriter(s *Snapshot) *writer {
+	w := &writer{s: s}
+	w.baseModels.table = &s.baseModels
+	w.adapters.table = &s.adapters
+	w.teams.table = &s.teams
+	w.keys.table = &s.keys
+	w.routes.table = &s.routes
+	w.backends.table = &s.backends
+	return w
 }
 
-func own[T proto.Message](owned *bool, t *table[T]) *table[T] {
-	if !*owned {
-		t.rows = maps.Clone(t.rows)
-		*owned = true
+func (w *writer) close() {
+	w.baseModels.close()
+	w.adapters.close()
+	w.teams.close()
+	w.keys.close()
+	w.routes.close()
+	w.backends.close()
+	if w.byHash != nil {
+		w.s.keysByHash = w.byHash.Map()
+	}
+	if w.derived {
+		w.s.index()
 	}
-	return t
 }
 
 func (w *writer) apply(op *apiv1.Op) {
-	s := w.s
 	switch o := op.GetOp().(type) {
 	case *apiv1.Op_PutBaseModel:
-		own(&w.baseModels, &s.baseModels).put(o.PutBaseModel.GetName(), o.PutBaseModel)
+		w.baseModels.put(o.PutBaseModel.GetName(), o.PutBaseModel)
 	case *apiv1.Op_DeleteBaseModel:
-		own(&w.baseModels, &s.baseModels).remove(o.DeleteBaseModel)
+		w.baseModels.remove(o.DeleteBaseModel)
 	case *apiv1.Op_PutAdapter:
-		own(&w.adapters, &s.adapters).put(o.PutAdapter.GetName(), o.PutAdapter)
+		w.adapters.put(o.PutAdapter.GetName(), o.PutAdapter)
 	case *apiv1.Op_DeleteAdapter:
-		own(&w.adapters, &s.adapters).remove(o.DeleteAdapter)
-	case *apiv1.Op_PutTeam:
-		own(&w.teams, &s.teams).put(o.PutTeam.GetName(), o.PutTeam)
-		w.small = true
-	case *apiv1.Op_DeleteTeam:
-		own(&w.teams, &s.teams).remove(o.DeleteTeam)
-		w.small = true
+		w.adapters.remove(o.DeleteAdapter)
 	case *apiv1.Op_PutKey:
 		w.putKey(o.PutKey)
 	case *apiv1.Op_DeleteKey:
 		w.deleteKey(o.DeleteKey)
+	default:
+		w.applyDerived(op)
+	}
+}
+
+// applyDerived applies an op to a table with derived lists.
+func (w *writer) applyDerived(op *apiv1.Op) {
+	w.derived = true
+	switch o := op.GetOp().(type) {
+	case *apiv1.Op_PutTeam:
+		w.teams.put(o.PutTeam.GetName(), o.PutTeam)
+	case *apiv1.Op_DeleteTeam:
+		w.teams.remove(o.DeleteTeam)
 	case *apiv1.Op_PutRoute:
-		own(&w.routes, &s.routes).put(o.PutRoute.GetName(), o.PutRoute)
-		w.small = true
+		w.routes.put(o.PutRoute.GetName(), o.PutRoute)
 	case *apiv1.Op_DeleteRoute:
-		own(&w.routes, &s.routes).remove(o.DeleteRoute)
-		w.small = true
+		w.routes.remove(o.DeleteRoute)
 	case *apiv1.Op_PutBackendServer:
-		own(&w.backs, &s.backends).put(o.PutBackendServer.GetName(), o.PutBackendServer)
-		w.small = true
+		w.backends.put(o.PutBackendServer.GetName(), o.PutBackendServer)
 	case *apiv1.Op_DeleteBackendServer:
-		own(&w.backs, &s.backends).remove(o.DeleteBackendServer)
-		w.small = true
+		w.backends.remove(o.DeleteBackendServer)
 	}
 }
 
-// ownKeys copies the key table together with its index.
-func (w *writer) ownKeys() {
-	if w.keys {
-		return
+// hashes returns the editor of the index of keys by hash.
+func (w *writer) hashes() *cowmap.Editor[*apiv1.Key] {
+	if w.byHash == nil {
+		w.byHash = w.s.keysByHash.Edit()
 	}
-	own(&w.keys, &w.s.keys)
-	w.s.keysByHash = maps.Clone(w.s.keysByHash)
+	return w.byHash
 }
 
 func (w *writer) putKey(k *apiv1.Key) {
 	w.deleteKey(k.GetId())
-	w.s.keys.put(k.GetId(), k)
+	w.keys.put(k.GetId(), k)
 	if h, ok := decodeHash(k.GetSha256()); ok {
-		w.s.keysByHash[h] = k
+		w.hashes().Put(string(h[:]), k)
 	}
 }
 
 func (w *writer) deleteKey(id string) {
-	w.ownKeys()
-	old, ok := w.s.keys.get(id)
+	old, ok := w.keys.get(id)
+	if !ok {
+		return
+	}
+	w.keys.remove(id)
+	h, ok := decodeHash(old.GetSha256())
 	if !ok {
 		return
 	}
-	if h, ok := decodeHash(old.GetSha256()); ok {
-		delete(w.s.keysByHash, h)
+	// The hash may belong to another key by now, when one change swaps two.
+	if owner, _ := w.hashes().Get(string(h[:])); owner.GetId() == id {
+		w.hashes().Delete(string(h[:]))
 	}
-	w.s.keys.remove(id)
 }
 
 func decodeHash(text string) (KeyHash, bool) {
@@ -234,22 +256,22 @@
 // Diff returns the ops that lead from s to the content of next.
 func (s *Snapshot) Diff(next *Snapshot) []*apiv1.Op {
 	var ops []*apiv1.Op
-	s.baseModels.diff(next.baseModels,
+	s.baseModels.diff(&next.baseModels,
 		func(v *apiv1.BaseModel) { ops = append(ops, &apiv1.Op{Op: &apiv1.Op_PutBaseModel{PutBaseModel: v}}) },
 		func(k string) { ops = append(ops, &apiv1.Op{Op: &apiv1.Op_DeleteBaseModel{DeleteBaseModel: k}}) })
-	s.adapters.diff(next.adapters,
+	s.adapters.diff(&next.adapters,
 		func(v *apiv1.Adapter) { ops = append(ops, &apiv1.Op{Op: &apiv1.Op_PutAdapter{PutAdapter: v}}) },
 		func(k string) { ops = append(ops, &apiv1.Op{Op: &apiv1.Op_DeleteAdapter{DeleteAdapter: k}}) })
-	s.teams.diff(next.teams,
+	s.teams.diff(&next.teams,
 		func(v *apiv1.Team) { ops = append(ops, &apiv1.Op{Op: &apiv1.Op_PutTeam{PutTeam: v}}) },
 		func(k string) { ops = append(ops, &apiv1.Op{Op: &apiv1.Op_DeleteTeam{DeleteTeam: k}}) })
-	s.keys.diff(next.keys,
+	s.keys.diff(&next.keys,
 		func(v *apiv1.Key) { ops = append(ops, &apiv1.Op{Op: &apiv1.Op_PutKey{PutKey: v}}) },
 		func(k string) { ops = append(ops, &apiv1.Op{Op: &apiv1.Op_DeleteKey{DeleteKey: k}}) })
-	s.routes.diff(next.routes,
+	s.routes.diff(&next.routes,
 		func(v *apiv1.Route) { ops = append(ops, &apiv1.Op{Op: &apiv1.Op_PutRoute{PutRoute: v}}) },
 		func(k string) { ops = append(ops, &apiv1.Op{Op: &apiv1.Op_DeleteRoute{DeleteRoute: k}}) })
-	s.backends.diff(next.backends,
+	s.backends.diff(&next.backends,
 		func(v *apiv1.BackendServer) {
 			ops = append(ops, &apiv1.Op{Op: &apiv1.Op_PutBackendServer{PutBackendServer: v}})
 		},
@@ -261,8 +283,7 @@
 
 // KeyByHash returns the key with the hash.
 func (s *Snapshot) KeyByHash(h KeyHash) (*apiv1.Key, bool) {
-	k, ok := s.keysByHash[h]
-	return k, ok
+	return s.keysByHash.Get(string(h[:]))
 }
 
 // Key returns the key with the id.
--- a/internal/config/table.go
+++ b/internal/config/table.go
@@ -3,10 +3,11 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"maps"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/cowmap"
 )
 
 // Digest identifies the content of a configuration. It is the sum of the
@@ -64,60 +65,93 @@
 	digest Digest
 }
 
-// table is an immutable map of entities by name. Writers copy it first.
+// table is an immutable map of entities by name.
 type table[T proto.Message] struct {
 	name string
-	rows map[string]row[T]
+	rows cowmap.Map[row[T]]
 	sum  Digest
 }
 
-func newTable[T proto.Message](name string) table[T] {
-	return table[T]{name: name, rows: map[string]row[T]{}}
-}
-
-func (t table[T]) get(key string) (T, bool) {
-	r, ok := t.rows[key]
+func (t *table[T]) get(key string) (T, bool) {
+	r, ok := t.rows.Get(key)
 	return r.entity, ok
 }
 
-func (t *table[T]) put(key string, entity T) {
-	t.remove(key)
-	d := entityDigest(t.name, entity)
-	t.rows[key] = row[T]{entity: entity, digest: d}
-	t.sum = t.sum.plus(d)
-}
-
-func (t *table[T]) remove(key string) {
-	old, ok := t.rows[key]
-	if !ok {
-		return
+// keys returns the names in order.
+func (t *table[T]) keys() []string {
+	out := make([]string, 0, t.rows.Len())
+	for k := range t.rows.All {
+		out = append(out, k)
 	}
-	delete(t.rows, key)
-	t.sum = t.sum.minus(old.digest)
+	slices.Sort(out)
+	return out
 }
 
 // sorted returns the entities in the order of their keys.
-func (t table[T]) sorted() []T {
-	keys := slices.Sorted(maps.Keys(t.rows))
-	out := make([]T, 0, len(keys))
-	for _, k := range keys {
-		out = append(out, t.rows[k].entity)
+func (t *table[T]) sorted() []T {
+	out := make([]T, 0, t.rows.Len())
+	for _, k := range t.keys() {
+		entity, _ := t.get(k)
+		out = append(out, entity)
 	}
 	return out
 }
 
 // diff calls put for each entity that to adds or changes and del for each that
 // it lacks, in the order of their keys.
-func (t table[T]) diff(to table[T], put func(T), del func(string)) {
-	for _, k := range slices.Sorted(maps.Keys(t.rows)) {
-		if _, ok := to.rows[k]; !ok {
+func (t *table[T]) diff(to *table[T], put func(T), del func(string)) {
+	for _, k := range t.keys() {
+		if _, ok := to.rows.Get(k); !ok {
 			del(k)
 		}
 	}
-	for _, k := range slices.Sorted(maps.Keys(to.rows)) {
-		next := to.rows[k]
-		if old, ok := t.rows[k]; !ok || old.digest != next.digest {
+	for _, k := range to.keys() {
+		next, _ := to.rows.Get(k)
+		if old, ok := t.rows.Get(k); !ok || old.digest != next.digest {
 			put(next.entity)
 		}
 	}
 }
+
+// tableEditor builds the next version of a table. It copies a part of the table
+// at its first write there.
+type tableEditor[T proto.Message] struct {
+	table *table[T]
+	rows  *cowmap.Editor[row[T]]
+}
+
+// open starts the edit with the first write.
+func (e *tableEditor[T]) open() *cowmap.Editor[row[T]] {
+	if e.rows == nil {
+		e.rows = e.table.rows.Edit()
+	}
+	return e.rows
+}
+
+func (e *tableEditor[T]) get(key string) (T, bool) {
+	r, ok := e.open().Get(key)
+	return r.entity, ok
+}
+
+func (e *tableEditor[T]) put(key string, entity T) {
+	e.remove(key)
+	d := entityDigest(e.table.name, entity)
+	e.open().Put(key, row[T]{entity: entity, digest: d})
+	e.table.sum = e.table.sum.plus(d)
+}
+
+func (e *tableEditor[T]) remove(key string) {
+	old, ok := e.open().Get(key)
+	if !ok {
+		return
+	}
+	e.rows.Delete(key)
+	e.table.sum = e.table.sum.minus(old.digest)
+}
+
+// close ends the edit.
+func (e *tableEditor[T]) close() {
+	if e.rows != nil {
+		e.table.rows = e.rows.Map()
+	}
+}
