--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -107,6 +107,8 @@
 		_ = store.Close()
 		return nil, err
 	}
+	id := store.Identity()
+	s.logger.Info().Str("disk_id", id.DiskID).Uint64("boot", id.Boot).Msg("data folder opened")
 	s.freshness = newFreshness(s)
 	s.syncView = view.NewServer(opts.Cluster, s)
 	return s, nil
@@ -127,12 +129,13 @@
 	return mux
 }
 
-// Run runs the replicated log and the leader's systems until the context ends.
-// It hands leadership over before it stops.
+// Run runs the replicated log and the leader's systems until the context ends
+// or one of them fails. It hands leadership over before it stops.
 func (s *Server) Run(ctx context.Context) error {
+	// The log goes on until leadership has been handed over.
 	logCtx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLog()
-	var g errgroup.Group
+	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.replica.Run(logCtx) })
 	g.Go(func() error { return s.transport.run(logCtx) })
 	g.Go(func() error { return s.freshness.run(ctx) })
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -13,6 +13,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -159,19 +160,27 @@
 	}
 }
 
-// rpcPrefix starts the path of every RPC. Other paths, such as the health
-// check, are open to processes outside the cluster.
-const rpcPrefix = "/jasmine."
+// closedPrefixes start the paths that only processes of the cluster may ask for:
+// the RPCs, and the decisions on requests, which name teams. Other paths, such
+// as the health check and the counters, are open.
+var closedPrefixes = []string{"/jasmine.", "/debug/explain"}
+
+func isClosed(path string) bool {
+	return slices.ContainsFunc(closedPrefixes, func(prefix string) bool { return strings.HasPrefix(path, prefix) })
+}
 
 // Handler authenticates the RPCs among the requests to h.
 func (p *Peer) Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !strings.HasPrefix(r.URL.Path, rpcPrefix) {
+		if !isClosed(r.URL.Path) {
 			h.ServeHTTP(w, r)
 			return
 		}
 		accepted, err := p.authenticate(r)
 		if err != nil {
+			// A client that has replaced its certificate since it opened the
+			// connection comes back with the new one.
+			w.Header().Set("Connection", "close")
 			_ = p.errors.Write(w, r, ToConnect(err))
 			return
 		}
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -48,6 +48,11 @@
 		if m.GetDiskId() == "" {
 			m.DiskId = r.boot.diskOf[m.GetHost()]
 		}
+		if m.GetDiskId() == "" {
+			// A host that was started without a list of members says nothing on
+			// its own. Its answer to this hello names its disk identity.
+			r.opts.Transport.Send(m, r.hello(""))
+		}
 		if m.GetDiskId() != "" && consensus.FindMember(r.node.Members(), m.GetDiskId()) != nil {
 			return consensus.Position{}, nil
 		}
--- a/internal/session/certificates_test.go
+++ b/internal/session/certificates_test.go
@@ -35,7 +35,7 @@
 	key, err := x509.ParseECPrivateKey(keyBlock.Bytes)
 	ts.Check(err)
 	template := &x509.Certificate{
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		IPAddresses: []net.IP{net.ParseIP(ts.Getenv("LOOPBACK"))},
 		KeyUsage:    x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
