Answer what is queued at a stop and drop undecodable member sets

Cause: a proposal still queued when the replica stopped was answered with an unknown outcome although it was not taken; one whose caller had gone got an untyped error; and an append with a member set that cannot be decoded ended the process.

Change: the queue is answered as not run, the error is typed, and the append is dropped like a lost message. The model's invariants move to a file of their own.

These three edges have no test of their own yet.

--- a/internal/consensus/follower.go
+++ b/internal/consensus/follower.go
@@ -49,8 +49,16 @@
 		})
 		return
 	}
+	for _, e := range entries {
+		if e.GetType() != apiv1.LogEntryType_LOG_ENTRY_TYPE_MEMBERS {
+			continue
+		}
+		if _, err := decodeMembers(e.GetData()); err != nil {
+			// A damaged message counts as lost.
+			return
+		}
+	}
 	if err := n.log.merge(entries); err != nil {
-		// A leader never appends a member set that it cannot decode.
 		panic(fmt.Sprintf("consensus: append from %s: %v", m.GetFrom(), err))
 	}
 	match := prev + uint64(len(entries))
--- /dev/null
+++ b/internal/consensus/invariants_test.go
@@ -0,0 +1,73 @@
+package consensus
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+)
+
+// apply checks that each host applies the same entries in the same order.
+func (w *world) apply(h *simHost, e *apiv1.LogEntry) {
+	if e.GetIndex() != h.applied+1 {
+		w.fail("%s applied %d after %d", h.name, e.GetIndex(), h.applied)
+	}
+	var word [8]byte
+	binary.BigEndian.PutUint64(word[:], h.chain)
+	h.chain = xxhash.Sum64(append(word[:], e.GetData()...))
+	h.applied = e.GetIndex()
+	got := committed{term: e.GetTerm(), chain: h.chain}
+	if c, ok := w.log[h.applied]; ok && c != got {
+		w.fail("%s applied at %d an entry of term %d, another host one of term %d", h.name, h.applied, got.term, c.term)
+	}
+	w.log[h.applied] = got
+}
+
+// checkLeader checks that a term has one leader and that its log holds all that
+// was ever committed.
+func (w *world) checkLeader(h *simHost) {
+	if h.node.role != Leader {
+		return
+	}
+	if other, ok := w.leaders[h.node.term]; ok {
+		if other != h.disk.id {
+			w.fail("term %d has leaders %s and %s", h.node.term, other, h.disk.id)
+		}
+		return
+	}
+	w.leaders[h.node.term] = h.disk.id
+	for index, c := range w.log {
+		if c.term >= h.node.term {
+			continue
+		}
+		if t, ok := h.node.log.term(index); index > h.node.log.offset && (!ok || t != c.term) {
+			w.fail("the leader of term %d lacks the committed entry %d of term %d", h.node.term, index, c.term)
+		}
+	}
+}
+
+// checkLeases checks that a lease begins only after all leases that were given
+// out in earlier terms have ended, by the clocks of those who hold them.
+func (w *world) checkLeases() {
+	for _, h := range w.hosts {
+		if h.node == nil {
+			continue
+		}
+		left := h.node.Lease().Sub(w.clock(h))
+		if left <= 0 {
+			continue
+		}
+		until := w.now + time.Duration(float64(left)/h.rate)
+		w.leaseUntil[h.node.term] = max(w.leaseUntil[h.node.term], until)
+		for term, other := range w.leaseUntil {
+			if term < h.node.term && other > w.now {
+				w.fail("term %d holds a lease while that of term %d lasts %v more", h.node.term, term, other-w.now)
+			}
+			if term > h.node.term {
+				w.fail("term %d holds a lease after term %d had one", h.node.term, term)
+			}
+		}
+	}
+}
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -98,7 +98,7 @@
 	case <-r.stopped:
 		return nil, r.stopping()
 	case <-ctx.Done():
-		return nil, fault.Wrap(ctx.Err(), fault.KindUnavailable, "the request ended before it was taken", "retry").WithRun(fault.NotRun)
+		return nil, notTaken(ctx)
 	default:
 	}
 	select {
@@ -114,8 +114,8 @@
 		return nil, outcomeUnknown("the request ended before the proposal was committed", ctx.Err())
 	case <-r.stopped:
 	}
-	// Run answers what it holds before it ends; what was left in the channel was
-	// not taken, but the two cannot be told apart here.
+	// Run answers what it holds before it ends. A proposal that came after that
+	// was not taken, but the two cannot be told apart here.
 	select {
 	case o := <-p.done:
 		return o.result, o.err
@@ -127,7 +127,7 @@
 // start appends a proposal. One whose caller has gone is dropped.
 func (r *Replica) start(p *proposal) {
 	if p.ctx.Err() != nil {
-		p.finish(nil, p.ctx.Err())
+		p.finish(nil, notTaken(p.ctx))
 		return
 	}
 	if r.node == nil {
@@ -159,6 +159,10 @@
 		"send the same request again; its number or key makes that safe").WithRun(fault.OutcomeUnknown)
 }
 
+func notTaken(ctx context.Context) error {
+	return fault.Wrap(ctx.Err(), fault.KindUnavailable, "the request ended before it was taken", "retry").WithRun(fault.NotRun)
+}
+
 func (r *Replica) stopping() error {
 	return fault.New(fault.KindUnavailable, "this host is stopping", "send the request to another host").WithRun(fault.NotRun)
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -267,6 +267,15 @@
 func (r *Replica) stop() {
 	r.stopOnce.Do(func() { close(r.stopped) })
 	r.failWaiting("this host is stopping")
+	for {
+		select {
+		case p := <-r.proposals:
+			p.finish(nil, r.stopping())
+			continue
+		default:
+		}
+		break
+	}
 	for _, done := range r.transfers {
 		done <- nil
 	}
