--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -172,6 +172,9 @@
 	must.Len(t, 4, n.Members().GetMembers())
 	from(2, &apiv1.LogEntry{Index: 2, Term: 2})
 	must.Len(t, 3, n.Members().GetMembers())
+	// A set that cannot be decoded must change nothing.
+	from(3, &apiv1.LogEntry{Index: 2, Term: 3, Type: apiv1.LogEntryType_LOG_ENTRY_TYPE_MEMBERS, Data: []byte{0xff}})
+	must.Eq(t, 2, n.log.lastTerm())
 }
 
 // A host that hears all but the leader must not end a working leadership, and
--- a/internal/consensus/world_test.go
+++ b/internal/consensus/world_test.go
@@ -382,39 +382,3 @@
 		}
 	}
 }
-
-// settle runs until a new command is applied on all members of the latest set,
-// for at most 60 s.
-func (w *world) settle() {
-	for range 60 {
-		w.run(time.Second)
-		l := w.leader()
-		if l == nil || !w.propose(l) {
-			continue
-		}
-		w.run(2 * time.Second)
-		done := true
-		for _, m := range l.node.Members().GetMembers() {
-			i := slices.IndexFunc(w.hosts, func(h *simHost) bool { return h.disk.id == m.GetDiskId() && !h.refused })
-			// A member without a disk is no longer there.
-			done = done && (i < 0 || w.hosts[i].node != nil && w.hosts[i].applied+3 >= l.applied)
-		}
-		if done && l.node != nil && l.applied == l.node.log.last() {
-			return
-		}
-	}
-	w.fail("no progress within 60 s of the end of all faults: %s", w.describe())
-}
-
-func (w *world) describe() string {
-	text := ""
-	for _, h := range w.hosts {
-		if h.node == nil {
-			text += h.name + " down; "
-			continue
-		}
-		s := h.node.Status()
-		text += fmt.Sprintf("%s %s refused=%v %v term %d last %d commit %d members %v; ", h.name, h.disk.id, h.refused, s.Role, s.Term, s.Last, s.Commit, voters(h.node.Members()))
-	}
-	return text
-}
--- a/internal/replica/disks_test.go
+++ b/internal/replica/disks_test.go
@@ -210,6 +210,11 @@
 		must.Less(t, time.Second+200*time.Millisecond, time.Since(start))
 		_, err := l.Propose(context.Background(), command("y"))
 		must.True(t, fault.Is(err, fault.KindNotLeader))
+		gone, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err = f.leader().Propose(gone, command("z"))
+		e, ok := fault.As(err)
+		must.True(t, ok && e.Run == fault.NotRun)
 	})
 }
 
