Tell members that joined from hosts that are new

Cause: a member that joined a running cluster has no first member set, and its hello looked like that of a new host. When all other first members had been replaced over time, a host with an emptied disk gathered them, saved a set that nobody else would save, and could not join any more.

Conclusion: no two sets could come into being before either; the host was stuck.

--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -60,7 +60,7 @@
 func (r *Replica) hello(to string) *apiv1.StepRequest {
 	req := r.request()
 	req.Hello = &apiv1.Hello{
-		Sender: r.self, Earlier: r.earlier, First: r.boot.first, Started: r.node != nil && r.boot.first != nil,
+		Sender: r.self, Earlier: r.earlier, First: r.boot.first, Started: r.node != nil,
 	}
 	if seen, ok := r.runs[to]; ok {
 		req.Hello.Seen, req.Hello.SeenDiskId = encodeRun(seen), to
@@ -161,13 +161,13 @@
 // gather takes a hello while this host does not run yet.
 func (r *Replica) gather(h *apiv1.Hello) error {
 	b := &r.boot
-	if h.GetFirst() == nil {
+	switch {
+	case h.GetFirst() == nil && !h.GetStarted():
 		b.fresh[h.GetSender().GetHost()] = h.GetSender()
-	} else if b.first == nil {
-		if consensus.FindMember(h.GetFirst(), r.id.DiskID) == nil {
-			r.refuse(h)
-			return nil
-		}
+	case b.first == nil && consensus.FindMember(h.GetFirst(), r.id.DiskID) == nil:
+		r.refuse(h)
+		return nil
+	case b.first == nil:
 		if err := r.saveFirst(h.GetFirst()); err != nil {
 			return err
 		}
--- a/internal/replica/disks_test.go
+++ b/internal/replica/disks_test.go
@@ -173,6 +173,25 @@
 	}
 }
 
+// When all other first members were replaced over time, none of them knows the
+// first member set. A host with an emptied disk that took them for new ones
+// would save a set of its own and could not join any more.
+func TestEmptiedDiskAmongReplacedMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, nil)
+		h := f.start("c", abc...)
+		for _, n := range []string{"a", "b"} {
+			must.NoError(t, h.Step(context.Background(), &apiv1.StepRequest{
+				Cluster: "test", FromDiskId: n, Boot: 1, BootNonce: 1,
+				Hello: &apiv1.Hello{Sender: &apiv1.Member{Host: n, Address: n, DiskId: n}, Started: true},
+			}))
+		}
+		time.Sleep(5 * time.Second)
+		must.Eq(t, "joining", h.Status().Stage)
+		f.stopAll()
+	})
+}
+
 // An isolated leader that still claims its lease, or that reports a wrong
 // outcome of a proposal, would let orders of two leaders overlap.
 func TestIsolatedLeader(t *testing.T) {
