Sum running requests by slot when reports arrive

For each slot it looked through all hosts, and each report walked over the demand of all adapters.

Change: running requests are summed by slot as reports come, and a host's waiting adapters are remembered, so that both cost what the report names.

--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -46,20 +46,30 @@
 	}
 }
 
-// clearDemand removes the host's waiting requests from entries that its report
-// does not name any more.
-func (t *Table) clearDemand(host string, req *apiv1.ReportRequest) {
-	named := make(map[Ref]bool, len(req.GetDemand()))
+// updateDemand takes in a host's demand. What the host waited for and does not
+// name any more is dropped; the cost follows the report.
+func (t *Table) updateDemand(h *host, req *apiv1.ReportRequest, now time.Time) {
+	before := h.waits
+	h.waits = map[Ref]bool{}
 	for _, d := range req.GetDemand() {
-		named[refOf(d.GetRef())] = true
+		t.addDemand(h.name, d, now)
+		if d.GetWaiting() > 0 {
+			h.waits[refOf(d.GetRef())] = true
+		}
 	}
-	for ref, d := range t.demand {
-		if !named[ref] {
-			delete(d.waiting, host)
+	for ref := range before {
+		if !h.waits[ref] {
+			t.dropWaiting(h.name, ref)
 		}
 	}
 }
 
+func (t *Table) dropWaiting(host string, ref Ref) {
+	if d, ok := t.demand[ref]; ok {
+		delete(d.waiting, host)
+	}
+}
+
 // arrive adds arrivals to the decayed rate. A constant rate r converges to r.
 func (d *demand) arrive(n float64, now time.Time) {
 	d.rate = d.rateAt(now) + n*math.Ln2/demandHalfLife.Seconds()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -77,7 +77,10 @@
 	conf        *config.Snapshot
 	hosts       map[string]*host
 	engines     map[string]*engine
-	demand      map[Ref]*demand
+	// inFlight sums the running requests of all hosts by slot, so that a plan
+	// does not cost the number of slots times the number of hosts.
+	inFlight map[slotKey]uint32
+	demand   map[Ref]*demand
 	// demandExpired is when idle demand was last dropped.
 	demandExpired time.Time
 	failures      map[failureKey]*failure
@@ -105,6 +108,7 @@
 		start:    start,
 		hosts:    map[string]*host{},
 		engines:  map[string]*engine{},
+		inFlight: map[slotKey]uint32{},
 		demand:   map[Ref]*demand{},
 		failures: map[failureKey]*failure{},
 		leaving:  map[string]bool{},
@@ -172,9 +176,9 @@
 func (t *Table) Tick(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for name, h := range t.hosts {
+	for _, h := range t.hosts {
 		if now.Sub(h.lastHeard) > forgetHostAfter {
-			delete(t.hosts, name)
+			t.forgetHost(h)
 		}
 	}
 	if now.Sub(t.demandExpired) >= expireInterval {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -179,3 +179,33 @@
 	must.Eq(t, "t", plan.Demand[0].Team)
 	must.Eq(t, "m", plan.Demand[0].BaseModel)
 }
+
+// Sums that miss a host's restart, silence or new report would pin a slot that
+// nobody uses, or plan against requests that nobody waits for.
+func TestSumsFollowHosts(t *testing.T) {
+	for name, end := range map[string]func(f *fixture){
+		"new report":      func(f *fixture) { f.report("h", 0, 0) },
+		"new incarnation": func(f *fixture) { f.t.Report(&apiv1.ReportRequest{Host: "h", Incarnation: 2}, f.now) },
+		"long silence": func(f *fixture) {
+			f.now = f.now.Add(forgetHostAfter + time.Second)
+			f.t.Tick(f.now)
+		},
+	} {
+		f := newFixture()
+		f.t.Report(&apiv1.ReportRequest{
+			Host: "h", Incarnation: 1,
+			InFlight: []*apiv1.InFlight{{Engine: "e", Ref: testRef.Message(), Count: 2}},
+			Demand:   []*apiv1.AdapterDemand{{Ref: testRef.Message(), Waiting: 3, Team: "t"}},
+		}, f.now)
+		before := f.t.Snapshot(f.now)
+		must.Eq(t, 2, before.Engines[0].Residents[0].InFlight)
+		must.Eq(t, 3, before.Demand[0].Waiting)
+		end(f)
+		after := f.t.Snapshot(f.now)
+		must.Eq(t, 0, after.Engines[0].Residents[0].InFlight, must.Sprint(name))
+		for _, d := range after.Demand {
+			must.Eq(t, 0, d.Waiting, must.Sprint(name))
+		}
+		must.MapEmpty(t, f.t.inFlight)
+	}
+}
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -16,16 +16,18 @@
 
 // host is one entry host as its last report described it.
 type host struct {
-	name          string
-	incarnation   uint64
-	address       string
-	domain        string
-	leaving       bool
-	lastHeard     time.Time
-	configRev     uint64
-	fleetTerm     uint64
-	fleetVersion  uint64
-	inFlight      map[slotKey]uint32
+	name         string
+	incarnation  uint64
+	address      string
+	domain       string
+	leaving      bool
+	lastHeard    time.Time
+	configRev    uint64
+	fleetTerm    uint64
+	fleetVersion uint64
+	inFlight     map[slotKey]uint32
+	// waits holds the adapter versions for which the host has waiting requests.
+	waits         map[Ref]bool
 	waitingFor    []string
 	loadsSentUpTo uint64
 }
@@ -52,16 +54,17 @@
 	defer t.mu.Unlock()
 	h := t.touchHost(req, now)
 	t.updateInFlight(h, req, now)
-	for _, d := range req.GetDemand() {
-		t.addDemand(h.name, d, now)
-	}
-	t.clearDemand(h.name, req)
+	t.updateDemand(h, req, now)
 	return t.answer(h, req, now)
 }
 
 func (t *Table) touchHost(req *apiv1.ReportRequest, now time.Time) *host {
 	h, ok := t.hosts[req.GetHost()]
-	if !ok || h.incarnation != req.GetIncarnation() {
+	if ok && h.incarnation != req.GetIncarnation() {
+		t.forgetHost(h)
+		ok = false
+	}
+	if !ok {
 		h = &host{name: req.GetHost(), incarnation: req.GetIncarnation()}
 		t.hosts[h.name] = h
 	}
@@ -76,11 +79,31 @@
 	return h
 }
 
+// forgetHost drops a host together with its part of the sums.
+func (t *Table) forgetHost(h *host) {
+	t.dropInFlight(h)
+	for ref := range h.waits {
+		t.dropWaiting(h.name, ref)
+	}
+	delete(t.hosts, h.name)
+}
+
+func (t *Table) dropInFlight(h *host) {
+	for key, n := range h.inFlight {
+		if t.inFlight[key] -= n; t.inFlight[key] == 0 {
+			delete(t.inFlight, key)
+		}
+	}
+	h.inFlight = nil
+}
+
 func (t *Table) updateInFlight(h *host, req *apiv1.ReportRequest, now time.Time) {
+	t.dropInFlight(h)
 	h.inFlight = make(map[slotKey]uint32, len(req.GetInFlight()))
 	for _, f := range req.GetInFlight() {
 		key := slotKey{engine: f.GetEngine(), ref: refOf(f.GetRef())}
 		h.inFlight[key] += f.GetCount()
+		t.inFlight[key] += f.GetCount()
 		if e, ok := t.engines[key.engine]; ok {
 			e.used(key.ref, now)
 		}
@@ -131,11 +154,3 @@
 	}
 	return ""
 }
-
-func (t *Table) inFlightOn(key slotKey) int {
-	var n uint32
-	for _, h := range t.hosts {
-		n += h.inFlight[key]
-	}
-	return int(n)
-}
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -45,7 +45,7 @@
 		out.Residents = append(out.Residents, placement.Resident{
 			Ref:      placement.Ref(ref),
 			State:    placementState(sl.state),
-			InFlight: t.inFlightOn(slotKey{engine: name, ref: ref}),
+			InFlight: int(t.inFlight[slotKey{engine: name, ref: ref}]),
 			LastUsed: sl.lastUsed,
 			Since:    sl.since,
 		})
