--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -51,7 +51,8 @@
 	due      map[string]time.Time
 }
 
-func newLeader(ctx context.Context, s *Server, term uint64, now time.Time) *leader {
+func newLeader(ctx context.Context, s *Server, lease replica.Lease, now time.Time) *leader {
+	term := lease.Term
 	conf := s.machine.Config()
 	ctx, cancel := context.WithCancel(ctx)
 	l := &leader{
@@ -68,6 +69,7 @@
 		due:      map[string]time.Time{},
 	}
 	l.orders = newOrders(l)
+	l.lender.SetEarlier(lease.EarlierSince)
 	l.lender.SetTeams(conf.Teams(), now)
 	return l
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -198,7 +198,7 @@
 		return nil
 	}
 	if s.leader == nil && lease.Held {
-		s.leader = newLeader(ctx, s, lease.Term, now)
+		s.leader = newLeader(ctx, s, lease, now)
 		s.metrics.terms.Add(1)
 		s.logger.Info().Uint64("term", lease.Term).Msg("leading")
 	}
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -6,6 +6,7 @@
 
 	"github.com/jasminesaddle/jasminesaddle/internal/fairqueue"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/rate"
 )
 
 // waitBound returns the longest wait of a class.
@@ -125,9 +126,10 @@
 		return d.enqueue(w, now)
 	}
 	team, _ := d.cfg.Team(w.x.team)
-	if burst := team.GetRate().GetBurstTokens(); w.tokens > burst {
+	if burst := team.GetRate().GetBurstTokens(); w.tokens > rate.Lendable(burst) {
 		return fault.Newf(fault.KindRequestTooLarge, "shorten the prompt or lower max_tokens",
-			"the request reserves %d tokens, more than the team's burst of %d", w.tokens, burst).
+			"the request reserves %d tokens, more than the %d that may be in use at once of the team's burst of %d",
+			w.tokens, rate.Lendable(burst), burst).
 			At("max_tokens").WithRun(fault.NotRun)
 	}
 	if !d.tokens.hasWaiting(w) && d.reserve(w, now) {
--- a/internal/rate/bucket.go
+++ b/internal/rate/bucket.go
@@ -9,6 +9,16 @@
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 )
 
+// reserveShare is the part of a burst that no lender ever has outstanding, as a
+// divisor. A new lender can't know what an earlier one has outstanding, but it
+// knows that this part is not, and lends within it at once. Without it, every
+// team waited for the end of all earlier grants after a change of the leader.
+const reserveShare = 16
+
+// Lendable returns the largest number of tokens that may be outstanding, and so
+// the largest reservation of one request.
+func Lendable(burst uint64) uint64 { return burst - burst/reserveShare }
+
 // bucket is one team's token bucket at the lender.
 type bucket struct {
 	rate, burst uint64
@@ -18,8 +28,13 @@
 	spent       uint64
 	refilled    time.Time
 	// assumed is the time until which an earlier lender's tokens may be in use;
-	// the whole burst counts as outstanding until then.
+	// all that it may have lent counts as outstanding until then.
 	assumed time.Time
+	// waits is true until assumed has passed.
+	waits bool
+	// reserve is true when the part that earlier lenders kept back may be lent
+	// before assumed has passed.
+	reserve bool
 	removed bool
 	leases  map[holderKey]*lease
 	wants   []uint64 // reused by fairShare
@@ -28,8 +43,8 @@
 	shareAt      time.Time
 }
 
-func newBucket(assumed, now time.Time) *bucket {
-	return &bucket{assumed: assumed, refilled: now, leases: map[holderKey]*lease{}}
+func newBucket(assumed time.Time, reserve bool, now time.Time) *bucket {
+	return &bucket{assumed: assumed, waits: now.Before(assumed), reserve: reserve, refilled: now, leases: map[holderKey]*lease{}}
 }
 
 func (b *bucket) setRate(rate, burst uint64) {
@@ -37,33 +52,38 @@
 	b.level = min(b.level, b.room())
 }
 
-// room is how many tokens may be at the lender beside the leased ones.
+// room is how many tokens may be at the lender beside the outstanding ones.
 func (b *bucket) room() uint64 {
-	if b.leased >= b.burst {
+	whole := b.burst - b.assumedLent()
+	if b.leased >= whole {
 		return 0
 	}
-	return b.burst - b.leased
+	return whole - b.leased
 }
 
-func (b *bucket) outstanding(now time.Time) uint64 {
-	if now.Before(b.assumed) {
+// assumedLent is what an earlier lender may have outstanding.
+func (b *bucket) assumedLent() uint64 {
+	switch {
+	case !b.waits:
+		return 0
+	case b.reserve:
+		return Lendable(b.burst)
+	default:
 		return b.burst
 	}
-	return b.leased
 }
 
+func (b *bucket) outstanding() uint64 { return b.leased + b.assumedLent() }
+
 func (b *bucket) refill(now time.Time) {
-	from := b.refilled
-	if from.Before(b.assumed) {
-		from = b.assumed
-	}
-	if !now.After(from) {
+	if !now.After(b.refilled) {
 		return
 	}
-	hi, lo := bits.Mul64(b.rate, uint64(now.Sub(from)))
+	hi, lo := bits.Mul64(b.rate, uint64(now.Sub(b.refilled)))
 	lo, overflow := bits.Add64(lo, b.carry, 0)
 	hi += overflow
 	b.refilled = now
+	b.waits = now.Before(b.assumed)
 	if hi >= uint64(time.Second) {
 		b.level, b.carry = b.room(), 0
 		return
@@ -134,7 +154,8 @@
 // got lately counts, or else the order of the Borrow calls would decide.
 func (b *bucket) grant(ls *lease, now time.Time) uint64 {
 	share := b.fairShare(now)
-	granted := min(ls.unmet, b.level, share-min(share, uint64(ls.recent)))
+	lendable := Lendable(b.burst) - min(Lendable(b.burst), b.leased)
+	granted := min(ls.unmet, b.level, lendable, share-min(share, uint64(ls.recent)))
 	b.level -= granted
 	b.leased += granted
 	ls.granted += granted
@@ -192,6 +213,5 @@
 		return 0
 	}
 	wait := time.Duration(float64(max(b.unmet, ls.unmet)) / float64(b.rate) * float64(time.Second))
-	wait += max(0, b.assumed.Sub(now))
 	return uint32(min(max(wait, time.Millisecond), time.Minute).Milliseconds())
 }
--- a/internal/rate/lender.go
+++ b/internal/rate/lender.go
@@ -68,19 +68,33 @@
 
 // Lender owns the token buckets of all teams for one term.
 type Lender struct {
-	mu      sync.Mutex
-	term    uint64
-	start   time.Time
+	mu    sync.Mutex
+	term  uint64
+	start time.Time
+	// reserve is true when the reserve of each burst may be lent at once.
+	reserve bool
 	teams   map[string]*bucket
 	holders map[holderKey]*holder
 }
 
 // NewLender returns a lender for the term. Tokens of an earlier lender may be in
-// use until lenderValid after start, so that nothing is granted before.
+// use until lenderValid after start, so that nothing is granted before unless
+// SetEarlier allows it.
 func NewLender(term uint64, start time.Time) *Lender {
 	return &Lender{term: term, start: start, teams: map[string]*bucket{}, holders: map[holderKey]*holder{}}
 }
 
+// SetEarlier tells since when the last earlier lender had been lending, at the
+// latest. When that is long enough ago, all outstanding tokens are of that lender,
+// which kept the reserve of each burst back; the new lender then lends within the
+// reserve at once. After two changes in short order it can't, since the lender
+// between may have lent it. It is called before SetTeams.
+func (l *Lender) SetEarlier(since time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reserve = l.start.Sub(since) >= lenderValid
+}
+
 // SetTeams replaces the teams and their rates. A new team starts at level 0. A
 // removed team's bucket stays until its grants have expired.
 func (l *Lender) SetTeams(teams []*apiv1.Team, now time.Time) {
@@ -93,7 +107,7 @@
 	for _, t := range teams {
 		b := l.teams[t.GetName()]
 		if b == nil {
-			b = newBucket(l.start.Add(lenderValid), now)
+			b = newBucket(l.start.Add(lenderValid), l.reserve, now)
 			l.teams[t.GetName()] = b
 		}
 		b.removed = false
@@ -219,7 +233,7 @@
 	for name, b := range l.teams {
 		out = append(out, &apiv1.TeamStatus{
 			Team: name, TokensPerSecond: b.rate, BurstTokens: b.burst,
-			Level: b.level, Outstanding: b.outstanding(now), Spent: b.spent,
+			Level: b.level, Outstanding: b.outstanding(), Spent: b.spent,
 		})
 	}
 	slices.SortFunc(out, func(a, b *apiv1.TeamStatus) int { return cmp.Compare(a.GetTeam(), b.GetTeam()) })
--- a/internal/replica/process.go
+++ b/internal/replica/process.go
@@ -92,6 +92,7 @@
 					"update this host to the leader's release")
 			}
 		}
+		r.terms.restart(r.opts.Now())
 		r.opts.Logger.Info().Uint64("index", s.Index).Int("bytes", len(s.Data)).Msg("snapshot installed")
 	}
 	for _, e := range rd.Committed {
@@ -103,6 +104,7 @@
 }
 
 func (r *Replica) applyEntry(e *apiv1.LogEntry) error {
+	r.terms.apply(e.GetTerm(), r.opts.Now())
 	var result any
 	if e.GetType() == apiv1.LogEntryType_LOG_ENTRY_TYPE_COMMAND {
 		cmd := &apiv1.Command{}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -119,6 +119,7 @@
 	node      *consensus.Node
 	ticks     uint64
 	waiting   map[uint64]*proposal
+	terms     terms
 	transfers []chan error
 	runs      consensus.Runs
 	newRuns   map[string]consensus.Run
@@ -154,6 +155,7 @@
 		r.earlier = append(r.earlier, encodeRun(run))
 	}
 	r.opts.Logger = opts.Logger.With().Str("host", r.self.Host).Str("disk_id", id.DiskID).Logger()
+	r.terms.restart(opts.Now())
 	return r, r.load()
 }
 
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -16,6 +16,9 @@
 	Held bool
 	// Until is when the lease ends unless it is renewed.
 	Until time.Time
+	// EarlierSince is a time at which the leader of the last earlier term had
+	// begun, or later. Leaders before that one have given no order since.
+	EarlierSince time.Time
 }
 
 // Status describes a replica.
@@ -32,13 +35,14 @@
 
 // published is what other goroutines see.
 type published struct {
-	status  Status
-	lease   time.Time
-	applied bool
+	status       Status
+	lease        time.Time
+	applied      bool
+	earlierSince time.Time
 }
 
 func (r *Replica) publish() {
-	p := published{lease: r.node.Lease()}
+	p := published{lease: r.node.Lease(), earlierSince: r.terms.earlierSince}
 	p.status = Status{
 		Stage: "running", Self: r.self, Leader: r.leaderMember(),
 		Members: r.node.Members().GetMembers(), Status: r.node.Status(),
@@ -67,7 +71,7 @@
 	r.mu.Unlock()
 	return Lease{
 		Term: p.status.Term, Until: p.lease,
-		Held: p.applied && r.opts.Now().Before(p.lease),
+		Held: p.applied && r.opts.Now().Before(p.lease), EarlierSince: p.earlierSince,
 	}
 }
 
@@ -84,3 +88,24 @@
 	defer r.mu.Unlock()
 	return r.published.status
 }
+
+// terms dates the terms by the entries that were applied. A leader gives orders
+// only after the first entry of its term is committed, so that the time at which
+// this host applied it is no earlier than the leader's start.
+type terms struct {
+	term                uint64
+	since, earlierSince time.Time
+}
+
+// apply takes in an applied entry.
+func (t *terms) apply(term uint64, now time.Time) {
+	if term == t.term {
+		return
+	}
+	t.earlierSince = t.since
+	t.term, t.since = term, now
+}
+
+// restart forgets what was seen before a start or a snapshot, which hide when
+// terms began.
+func (t *terms) restart(now time.Time) { t.since, t.earlierSince = now, now }
--- /dev/null
+++ b/internal/session/tokens_test.go
@@ -0,0 +1,45 @@
+package session
+
+import (
+	"regexp"
+	"strconv"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+var (
+	tokensLine  = regexp.MustCompile(`(?m)^tokens +(\d+)$`)
+	elapsedLine = regexp.MustCompile(`(?m)^elapsed_ms +(\d+)$`)
+)
+
+// withinRate checks that the tokens of several load runs together stay within a
+// rate and a burst: within-rate RATE BURST LOG... The runs start together, so
+// that the longest one gives the time.
+func withinRate(ts *testscript.TestScript, _ bool, args []string) {
+	rate, burst := number(ts, args[0]), number(ts, args[1])
+	var tokens, elapsed int
+	for _, log := range args[2:] {
+		text := ts.ReadFile(log)
+		tokens += firstNumber(ts, tokensLine, text)
+		elapsed = max(elapsed, firstNumber(ts, elapsedLine, text))
+	}
+	bound := burst + rate*elapsed/1000
+	ts.Logf("%d tokens in %d ms, bound %d", tokens, elapsed, bound)
+	if tokens == 0 || tokens > bound {
+		ts.Fatalf("%d tokens in %d ms, the rate and burst allow %d", tokens, elapsed, bound)
+	}
+}
+
+func firstNumber(ts *testscript.TestScript, line *regexp.Regexp, text string) int {
+	m := line.FindStringSubmatch(text)
+	if m == nil {
+		ts.Fatalf("no line matches %q in\n%s", line, text)
+	}
+	return number(ts, m[1])
+}
+
+func number(ts *testscript.TestScript, text string) int {
+	n, err := strconv.Atoi(text)
+	ts.Check(err)
+	return n
+}
