--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net/http"
 	"sync"
 	"time"
@@ -65,6 +66,7 @@
 	syncView  *view.Server
 	freshness *freshness
 	heard     heard
+	metrics   *metrics
 
 	background sync.WaitGroup
 
@@ -89,6 +91,7 @@
 		machine:   state.New(),
 		pools:     pool.NewSet(pool.Options{}),
 		endpoints: map[string]*client.Endpoint{},
+		metrics:   newMetrics(),
 	}
 	s.transport = newTransport(s)
 	s.replica, err = replica.New(replica.Options{
@@ -104,6 +107,8 @@
 		_ = store.Close()
 		return nil, err
 	}
+	id := store.Identity()
+	s.logger.Info().Str("disk_id", id.DiskID).Uint64("boot", id.Boot).Msg("data folder opened")
 	s.freshness = newFreshness(s)
 	s.syncView = view.NewServer(opts.Cluster, s)
 	return s, nil
@@ -119,16 +124,18 @@
 	mux.Handle(apiv1connect.NewRateServiceHandler(rateHandler{s}, opts...))
 	mux.Handle(apiv1connect.NewCallServiceHandler(callHandler{s}, opts...))
 	mux.Handle(apiv1connect.NewOperatorServiceHandler(operatorHandler{s}, opts...))
+	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	return mux
 }
 
-// Run runs the replicated log and the leader's systems until the context ends.
-// It hands leadership over before it stops.
+// Run runs the replicated log and the leader's systems until the context ends
+// or one of them fails. It hands leadership over before it stops.
 func (s *Server) Run(ctx context.Context) error {
+	// The log goes on until leadership has been handed over.
 	logCtx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLog()
-	var g errgroup.Group
+	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.replica.Run(logCtx) })
 	g.Go(func() error { return s.transport.run(logCtx) })
 	g.Go(func() error { return s.freshness.run(ctx) })
@@ -192,6 +199,7 @@
 	}
 	if s.leader == nil && lease.Held {
 		s.leader = newLeader(ctx, s, lease.Term, now)
+		s.metrics.terms.Add(1)
 		s.logger.Info().Uint64("term", lease.Term).Msg("leading")
 	}
 	return s.leader
--- a/internal/entry/candidates.go
+++ b/internal/entry/candidates.go
@@ -74,6 +74,7 @@
 		}
 		c.Running, c.Queued = int(row.status.GetRunning()), int(row.status.GetQueued())
 		c.ReportAge = row.loadAge(now)
+		c.Others = max(0, c.Running+c.Queued-d.ownAtReport[name])
 	}
 	if w.ref != nil && len(d.missing) > 0 {
 		if until, ok := d.missing[missingKey{name, w.model}]; ok && now.Before(until) {
@@ -149,41 +150,3 @@
 	clear(b.byResource)
 	b.changed = true
 }
-
-// pace estimates how many tokens per second the host dispatches, over the
-// last ten seconds.
-type pace struct {
-	slots [10]struct {
-		second int64
-		cost   uint64
-		count  int
-	}
-}
-
-func (p *pace) served(cost uint64, now time.Time) {
-	second := now.Unix()
-	slot := &p.slots[uint64(second)%uint64(len(p.slots))]
-	if slot.second != second {
-		slot.second, slot.cost, slot.count = second, 0, 0
-	}
-	slot.cost += cost
-	slot.count++
-}
-
-// perSecond returns the estimate, or 0 when there were too few requests to
-// refuse others because of it.
-func (p *pace) perSecond(now time.Time) float64 {
-	var cost uint64
-	count, oldest := 0, now.Unix()
-	for _, slot := range p.slots {
-		if slot.count > 0 && now.Unix()-slot.second < int64(len(p.slots)) {
-			cost += slot.cost
-			count += slot.count
-			oldest = min(oldest, slot.second)
-		}
-	}
-	if count < 20 {
-		return 0
-	}
-	return float64(cost) / float64(now.Unix()-oldest+1)
-}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -27,9 +27,15 @@
 	outliers *outlier.Detector
 	rng      *rand.Rand
 	inFlight map[string]*inFlight
-	demand   map[string]*demand
-	blocked  blockedGroups
-	pace     pace
+	// ownAtReport is the number of own requests on an engine when its load came.
+	ownAtReport map[string]int
+	demand      map[string]*demand
+	blocked     blockedGroups
+	pace        pace
+	// coldCost is the cost of the queued requests that wait for a load.
+	coldCost uint64
+	// hot is the number of queued requests that wait for a free engine only.
+	hot int
 	// missing holds engines that answered that they lack a model which the
 	// fleet table lists.
 	missing map[missingKey]time.Time
@@ -62,9 +68,12 @@
 		outliers: outlier.NewDetector(outlier.Defaults()),
 		rng:      rand.New(rand.NewPCG(s.opts.Seed, 1)),
 		inFlight: map[string]*inFlight{},
-		demand:   map[string]*demand{},
-		missing:  map[missingKey]time.Time{},
-		cooling:  map[string]time.Time{},
+
+		ownAtReport: map[string]int{},
+
+		demand:  map[string]*demand{},
+		missing: map[missingKey]time.Time{},
+		cooling: map[string]time.Time{},
 	}
 	d.tokens.init()
 	d.blocked.init()
@@ -96,6 +105,7 @@
 		d.blocked.unblock(model)
 	}
 	for _, st := range resp.GetEngines() {
+		d.noteOwn(st.GetName())
 		b, _ := d.cfg.BackendServer(st.GetName())
 		d.blocked.unblock(b.GetBaseModel())
 		if n := st.GetRunning(); n > 0 {
@@ -108,6 +118,15 @@
 	}
 }
 
+// noteOwn keeps the host's own part of an engine's reported load, so that what
+// is left is the part of other hosts.
+func (d *dispatch) noteOwn(name string) {
+	delete(d.ownAtReport, name)
+	if load := d.inFlight[name]; load != nil && load.total > 0 {
+		d.ownAtReport[name] = load.total
+	}
+}
+
 // forgetRestarted drops the prefixes believed cached on engines that started
 // anew.
 func (d *dispatch) forgetRestarted(resp *apiv1.ReportResponse) {
@@ -146,6 +165,7 @@
 		d.stopAdapters()
 	}
 	d.pump(now)
+	d.pace.observe(now, d.hot > 0)
 }
 
 // stopAdapters cancels the requests that run on adapters. The control leader
@@ -197,6 +217,7 @@
 	d.blocked.changed = false
 	d.pumpQueue(d.calls, now)
 	d.pumpQueue(d.models, now)
+	d.pace.observe(now, d.hot > 0)
 }
 
 func (d *dispatch) pumpQueue(q *fairqueue.Queue[*work], now time.Time) {
@@ -242,7 +263,7 @@
 	if w.prefix != nil {
 		d.prefixes.Add(decision.Engine, w.prefix, now)
 	}
-	d.pace.served(w.cost, now)
+	d.pace.served(w.cost)
 	w.grant()
 }
 
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -60,10 +60,10 @@
 func (r *Replica) hello(to string) *apiv1.StepRequest {
 	req := r.request()
 	req.Hello = &apiv1.Hello{
-		Sender: r.self, Earlier: r.earlier, First: r.boot.first, Started: r.node != nil && r.boot.first != nil,
+		Sender: r.self, Earlier: r.earlier, First: r.boot.first, Started: r.node != nil,
 	}
 	if seen, ok := r.runs[to]; ok {
-		req.Hello.Seen = encodeRun(seen)
+		req.Hello.Seen, req.Hello.SeenDiskId = encodeRun(seen), to
 	}
 	return req
 }
@@ -141,7 +141,7 @@
 		return nil
 	}
 	own := consensus.Run{Boot: r.id.Boot, Nonce: r.id.Nonce, Saves: r.opts.Store.Saves()}
-	if seen := decodeRun(h.GetSeen()); h.GetSeen() != nil && !consensus.Continues(own, r.id.Earlier, seen) {
+	if seen := decodeRun(h.GetSeen()); h.GetSeenDiskId() == r.id.DiskID && !consensus.Continues(own, r.id.Earlier, seen) {
 		return fault.Newf(fault.KindStorageRolledBack,
 			"replace this member: start it with an empty data folder, add it again and remove this disk identity",
 			"the data folder is an older copy: %s has seen boot %d and save %d of it, and it has boot %d and save %d",
@@ -161,13 +161,13 @@
 // gather takes a hello while this host does not run yet.
 func (r *Replica) gather(h *apiv1.Hello) error {
 	b := &r.boot
-	if h.GetFirst() == nil {
+	switch {
+	case h.GetFirst() == nil && !h.GetStarted():
 		b.fresh[h.GetSender().GetHost()] = h.GetSender()
-	} else if b.first == nil {
-		if consensus.FindMember(h.GetFirst(), r.id.DiskID) == nil {
-			r.refuse(h)
-			return nil
-		}
+	case b.first == nil && consensus.FindMember(h.GetFirst(), r.id.DiskID) == nil:
+		r.refuse(h)
+		return nil
+	case b.first == nil:
 		if err := r.saveFirst(h.GetFirst()); err != nil {
 			return err
 		}
