Fail over from a silent control host and keep an open outcome

A silent control host used up the report, the loop ended before another host was asked, and the preferred host changed only on success. Also, typed errors without a connect code counted as unknown failures, so that a refusal by content (membership, wrong cluster) was asked of each host, and a not_leader from the last host hid that an earlier host may have carried the request out.

Change: a failed try moves the preferred host on. Only kinds that another host may better are tried there. The first failure with an open outcome is returned.

Conclusion: a silent control host costs an entry host one report.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
-
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/api/v1/apiv1connect"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
@@ -96,10 +94,12 @@
 }
 
 // try calls the control hosts in turn, starting with the preferred one, until
-// one gives an answer that another host could not better.
+// one gives an answer that another host could not better. The first failure
+// that leaves the outcome open is returned rather than a later refusal, since
+// the request may have been carried out.
 func try[Resp any](ctx context.Context, c *Control, fn func(context.Context, *Endpoint) (*Resp, error)) (*Resp, error) {
 	first := c.preferred.Load()
-	var last error
+	var open, last error
 	for i := range int64(len(c.endpoints)) {
 		n := (first + i) % int64(len(c.endpoints))
 		tryCtx, cancel := context.WithTimeout(ctx, c.tryTimeout)
@@ -110,22 +110,34 @@
 			return resp, nil
 		}
 		last = peer.FromConnect(err)
-		if ctx.Err() != nil || !worthAnotherHost(err, last) {
+		if !worthAnotherHost(last) {
+			break
+		}
+		// The next call starts with another host. A silent host may use up the
+		// whole time of this call, so that no other host is tried in it.
+		c.preferred.CompareAndSwap(n, (n+1)%int64(len(c.endpoints)))
+		if open == nil && fault.KindOf(last) != fault.KindNotLeader {
+			open = last
+		}
+		if ctx.Err() != nil {
 			break
 		}
 	}
+	if open != nil {
+		return nil, open
+	}
 	return nil, last
 }
 
-// worthAnotherHost tells whether another control host may answer.
-func worthAnotherHost(raw, typed error) bool {
-	switch fault.KindOf(typed) {
-	case fault.KindNotLeader, fault.KindUnavailable, fault.KindOutcomeUnknown:
-		return true
-	}
-	switch connect.CodeOf(raw) {
-	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeCanceled, connect.CodeUnknown, connect.CodeInternal:
-		return true
+// worthAnotherHost tells whether another control host may answer. Other typed
+// errors are the leader's own answer, and the same on each host.
+func worthAnotherHost(err error) bool {
+	if e, ok := fault.As(err); ok {
+		switch e.Kind {
+		case fault.KindNotLeader, fault.KindUnavailable, fault.KindOutcomeUnknown, fault.KindDeadline, fault.KindInternal:
+			return true
+		}
+		return false
 	}
-	return false
+	return true
 }
