--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -29,26 +29,33 @@
 	l *leader
 
 	mu       sync.Mutex
-	clients  map[string]*engineClient
+	clients  map[string]addressedClient
 	scraping map[string]bool
 }
 
-type engineClient struct {
+// engineClient is what the leader uses of an engine.
+type engineClient interface {
+	Load(ctx context.Context, o engine.Order) error
+	Unload(ctx context.Context, o engine.Order) error
+	Scrape(ctx context.Context) (engine.Load, error)
+}
+
+type addressedClient struct {
 	address string
-	client  *engine.Client
+	client  engineClient
 }
 
 func newOrders(l *leader) *orders {
-	return &orders{l: l, clients: map[string]*engineClient{}, scraping: map[string]bool{}}
+	return &orders{l: l, clients: map[string]addressedClient{}, scraping: map[string]bool{}}
 }
 
 // client returns the client of an engine, made anew when its address changes.
-func (o *orders) client(b *apiv1.BackendServer) *engine.Client {
+func (o *orders) client(b *apiv1.BackendServer) engineClient {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	c, ok := o.clients[b.GetName()]
 	if !ok || c.address != b.GetAddress() {
-		c = &engineClient{address: b.GetAddress(), client: engine.New(b, o.l.s.pools)}
+		c = addressedClient{address: b.GetAddress(), client: o.l.s.newEngine(b)}
 		o.clients[b.GetName()] = c
 	}
 	return c.client
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -22,6 +22,7 @@
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/api/v1/apiv1connect"
 	"github.com/jasminesaddle/jasminesaddle/internal/client"
+	"github.com/jasminesaddle/jasminesaddle/internal/engine"
 	"github.com/jasminesaddle/jasminesaddle/internal/peer"
 	"github.com/jasminesaddle/jasminesaddle/internal/platform"
 	"github.com/jasminesaddle/jasminesaddle/internal/pool"
@@ -40,6 +41,19 @@
 	handoverTimeout = 3 * time.Second
 )
 
+// replicatedLog is what a Server uses of a replica.
+type replicatedLog interface {
+	Run(ctx context.Context) error
+	Step(ctx context.Context, req *apiv1.StepRequest) error
+	Propose(ctx context.Context, cmd *apiv1.Command) (any, error)
+	Lease() replica.Lease
+	Leader() *apiv1.Member
+	Status() replica.Status
+	AddMember(ctx context.Context, m *apiv1.Member) error
+	RemoveMember(ctx context.Context, diskID string) error
+	TransferLeadership(ctx context.Context) error
+}
+
 // Options configures a Server.
 type Options struct {
 	Cluster string
@@ -60,7 +74,8 @@
 	logger    zerolog.Logger
 	store     *storage.Store
 	machine   *state.Machine
-	replica   *replica.Replica
+	replica   replicatedLog
+	newEngine func(*apiv1.BackendServer) engineClient
 	transport *transport
 	pools     *pool.Set
 	syncView  *view.Server
@@ -93,6 +108,7 @@
 		endpoints: map[string]*client.Endpoint{},
 		metrics:   newMetrics(),
 	}
+	s.newEngine = func(b *apiv1.BackendServer) engineClient { return engine.New(b, s.pools) }
 	s.transport = newTransport(s)
 	s.replica, err = replica.New(replica.Options{
 		Cluster:   opts.Cluster,
