Send orders to the engine that they were decided for

Cause: an order named its engine only, and the address was read from the configuration when the order was sent. A scrape or load answer of the predecessor counted for the new engine too. An order whose engine had left the configuration returned without an outcome, which left the slot loading for the rest of the term when the engine came back before the next tick.

Change: an order carries the backend server of the decision and a scrape its address. Answers of an earlier engine of the name are dropped.

Conclusion: an unload cannot reach an engine for which it was not decided.

--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -58,7 +58,7 @@
 }
 
 func scrapeOne(t *fleet.Table, i, adapters, round int, now time.Time) {
-	s := fleet.Scrape{StartID: "1800000000.25", Running: 20 + (i+round)%30, Queued: i % 5, KVUsage: 0.7, Begun: now}
+	s := fleet.Scrape{Address: engineAddress(i), StartID: "1800000000.25", Running: 20 + (i+round)%30, Queued: i % 5, KVUsage: 0.7, Begun: now}
 	for k := range slots {
 		s.Resident = append(s.Resident, fleet.Ref{Adapter: adapterName((i*slots + k) % adapters), Version: "v1"})
 	}
--- a/internal/capacity/world.go
+++ b/internal/capacity/world.go
@@ -34,9 +34,13 @@
 	return a
 }
 
+func engineAddress(i int) string {
+	return fmt.Sprintf("http://10.%d.%d.%d:8000", i>>16, i>>8&255, i&255)
+}
+
 func engineServer(i int) *apiv1.BackendServer {
 	return &apiv1.BackendServer{
-		Name: engineName(i), Address: fmt.Sprintf("http://10.%d.%d.%d:8000", i>>16, i>>8&255, i&255),
+		Name: engineName(i), Address: engineAddress(i),
 		FailureDomain: domainName(i), Kind: apiv1.BackendKind_BACKEND_KIND_ENGINE, Pool: poolName,
 		BaseModel: baseModel, Slots: 8, MaxBatch: 64, ChecksFencing: true,
 	}
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -97,6 +97,7 @@
 		return
 	}
 	s := fleet.Scrape{
+		Address: b.GetAddress(),
 		StartID: load.StartID,
 		Running: load.Running,
 		Queued:  load.Waiting,
@@ -133,10 +134,7 @@
 }
 
 func (o *orders) run(ctx context.Context, order fleet.Order) {
-	b, ok := o.l.s.machine.Config().BackendServer(order.Engine)
-	if !ok {
-		return
-	}
+	b := order.Backend
 	msg := engine.Order{Ref: order.Ref.Message(), Weights: order.Weights, Fence: o.l.term}
 	begun := time.Now()
 	var err error
--- a/internal/fleet/engine.go
+++ b/internal/fleet/engine.go
@@ -45,6 +45,8 @@
 
 // Scrape is what an engine reported about itself.
 type Scrape struct {
+	// Address is where the scrape was sent.
+	Address string
 	StartID string
 	Running int
 	Queued  int
@@ -81,12 +83,13 @@
 	e.slotVersion = t.bump()
 }
 
-// Scraped takes in a successful scrape.
+// Scraped takes in a successful scrape. One that was sent to the address of an
+// earlier engine of the same name says nothing about the present one.
 func (t *Table) Scraped(name string, s Scrape, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e, ok := t.engines[name]
-	if !ok {
+	if !ok || e.backend.GetAddress() != s.Address {
 		return
 	}
 	restarted := e.known && e.startID != s.StartID
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -15,6 +15,8 @@
 	testRef   = Ref{Adapter: "a", Version: "1"}
 )
 
+const testAddress = "http://127.0.0.1:1"
+
 func testConfig(versions ...string) *config.Snapshot {
 	a := &apiv1.Adapter{Name: "a", BaseModel: "m", DefaultVersion: versions[0]}
 	for _, v := range versions {
@@ -23,7 +25,7 @@
 	return config.FromManifest(&apiv1.Manifest{
 		Adapters: []*apiv1.Adapter{a},
 		BackendServers: []*apiv1.BackendServer{{
-			Name: "e", Address: "http://127.0.0.1:1", Kind: apiv1.BackendKind_BACKEND_KIND_ENGINE, BaseModel: "m", Slots: 2,
+			Name: "e", Address: testAddress, Kind: apiv1.BackendKind_BACKEND_KIND_ENGINE, BaseModel: "m", Slots: 2,
 		}},
 	}, 1)
 }
@@ -42,7 +44,7 @@
 }
 
 func (f *fixture) scrape(startID string, refs ...Ref) {
-	f.t.Scraped("e", Scrape{StartID: startID, Resident: refs, Begun: f.now}, f.now)
+	f.t.Scraped("e", Scrape{Address: testAddress, StartID: startID, Resident: refs, Begun: f.now}, f.now)
 }
 
 // report sends a heartbeat of a host that acts on the given version.
@@ -115,7 +117,7 @@
 	must.Len(t, 2, f.t.Engines(f.now)[0].GetSlots())
 
 	before := f.now.Add(-time.Millisecond)
-	f.t.Scraped("e", Scrape{StartID: "s1", Resident: []Ref{testRef}, Begun: before}, f.now)
+	f.t.Scraped("e", Scrape{Address: testAddress, StartID: "s1", Resident: []Ref{testRef}, Begun: before}, f.now)
 	must.Len(t, 2, f.t.Engines(f.now)[0].GetSlots(), must.Sprint("a scrape from before the load removed the slot"))
 
 	f.now = f.now.Add(time.Second)
@@ -140,7 +142,7 @@
 	must.False(t, again.GetFull())
 	must.SliceEmpty(t, again.GetEngines())
 
-	f.t.Scraped("e", Scrape{StartID: "s1", Running: 3, Resident: []Ref{testRef}, Begun: f.now}, f.now)
+	f.t.Scraped("e", Scrape{Address: testAddress, StartID: "s1", Running: 3, Resident: []Ref{testRef}, Begun: f.now}, f.now)
 	loads := f.report("h", first.GetFleetVersion(), 0)
 	must.Len(t, 1, loads.GetEngines())
 	must.True(t, loads.GetEngines()[0].GetSlotsUnchanged())
@@ -179,3 +181,21 @@
 	must.Eq(t, "t", plan.Demand[0].Team)
 	must.Eq(t, "m", plan.Demand[0].BaseModel)
 }
+
+// What was asked of the earlier engine of a name must not count for the engine
+// that has taken the name over: it would be taken to hold other adapters.
+func TestAnswerOfEarlierEngineOfTheName(t *testing.T) {
+	f := newFixture()
+	o, ok := f.t.StartLoad("e", Ref{"a", "2"}, f.now)
+	must.True(t, ok)
+	m := testConfig("1", "2").Manifest()
+	m.BackendServers[0].Address = "http://127.0.0.1:2"
+	f.t.SetConfig(config.FromManifest(m, 2))
+	f.scrape("s1", testRef)
+	must.SliceEmpty(t, f.t.Engines(f.now)[0].GetSlots())
+	f.t.Scraped("e", Scrape{Address: m.BackendServers[0].Address, StartID: "s2", Begun: f.now}, f.now)
+	_, ok = f.t.StartLoad("e", Ref{"a", "2"}, f.now)
+	must.True(t, ok)
+	f.t.LoadDone(o, false, f.now)
+	must.EqOp(t, apiv1.SlotState_SLOT_STATE_LOADING, f.t.Engines(f.now)[0].GetSlots()[0].GetState())
+}
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -20,12 +20,21 @@
 
 // Order is one load or unload that the applier sends to an engine.
 type Order struct {
-	Kind    OrderKind
-	Engine  string
+	Kind   OrderKind
+	Engine string
+	// Backend is the engine that the decision was made for. Another engine may
+	// take over the name with a change of address.
+	Backend *apiv1.BackendServer
 	Ref     Ref
 	Weights string
 }
 
+// engineOf returns the engine of an order, unless another one has its name now.
+func (t *Table) engineOf(o Order) (*engine, bool) {
+	e, ok := t.engines[o.Engine]
+	return e, ok && e.backend.GetAddress() == o.Backend.GetAddress()
+}
+
 // StartLoad marks the slot as loading and returns the order. It returns false
 // when the plan was made for a fleet that has changed since.
 func (t *Table) StartLoad(engineName string, ref Ref, now time.Time) (Order, bool) {
@@ -46,7 +55,7 @@
 	e.slots[ref] = sl
 	t.setState(e, sl, apiv1.SlotState_SLOT_STATE_LOADING, now)
 	t.starts = append(t.starts, now)
-	return Order{Kind: OrderLoad, Engine: engineName, Ref: ref, Weights: weights}, true
+	return Order{Kind: OrderLoad, Engine: engineName, Backend: e.backend, Ref: ref, Weights: weights}, true
 }
 
 func (e *engine) usable() bool { return e.known && e.healthy && !e.leaving }
@@ -64,7 +73,7 @@
 func (t *Table) LoadDone(o Order, failed bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e, ok := t.engines[o.Engine]
+	e, ok := t.engineOf(o)
 	if !ok {
 		return
 	}
@@ -137,7 +146,7 @@
 		}
 		sl.unloading = true
 		sl.unloadSent = true
-		orders = append(orders, Order{Kind: OrderUnload, Engine: key.engine, Ref: key.ref})
+		orders = append(orders, Order{Kind: OrderUnload, Engine: key.engine, Backend: e.backend, Ref: key.ref})
 	}
 	return orders
 }
@@ -161,7 +170,7 @@
 func (t *Table) UnloadDone(o Order, failed bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e, ok := t.engines[o.Engine]
+	e, ok := t.engineOf(o)
 	if !ok {
 		return
 	}
