Date a term after its lease

Cause: the leader's tables were dated with the time of the tick, which was read before the lease. After a long tick or a pause the next tick is buffered, and its time can lie before the moment at which the lease was won.

Change: the time is read after the lease.

Conclusion: the waits at the start of a term hold after a pause as well.

--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -117,7 +117,7 @@
 // lead makes the host the leader of a term and runs one tick.
 func (f *fixture) lead(t *testing.T, term uint64) *leader {
 	f.log.setLease(term, true)
-	f.tick(t.Context(), time.Now())
+	f.tick(t.Context())
 	return f.leading()
 }
 
--- a/internal/control/forward_test.go
+++ b/internal/control/forward_test.go
@@ -3,7 +3,6 @@
 import (
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -62,7 +61,7 @@
 		must.NotNil(t, first)
 		f.log.setLease(4, false)
 		must.Nil(t, f.leading())
-		f.tick(t.Context(), time.Now())
+		f.tick(t.Context())
 		must.Error(t, first.ctx.Err())
 		second := f.lead(t, 5)
 		must.True(t, second != first && second.lender != first.lender && second.fleet != first.fleet)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -186,15 +186,18 @@
 		case <-ctx.Done():
 			s.dropLeader()
 			return nil
-		case now := <-ticker.C:
-			s.tick(ctx, now)
+		case <-ticker.C:
+			s.tick(ctx)
 		}
 	}
 }
 
 // tick follows the leader lease and runs the leader's systems while it holds.
-func (s *Server) tick(ctx context.Context, now time.Time) {
+// The time is read after the lease. The time of the tick may lie before the
+// term after a pause, and the waits at the start of a term would be too short.
+func (s *Server) tick(ctx context.Context) {
 	lease := s.replica.Lease()
+	now := time.Now()
 	l := s.followLease(ctx, lease, now)
 	if l != nil && lease.Held {
 		l.tick(ctx, lease, now)
