Wait for the tasks of a term before the data folder closes

Cause: the tasks of a leader ran on a wait group that nothing waited for. A proposal, scrape or order could outlive Run and use the log after its end, and an RPC could start a task on tables whose term had ended.

Change: a term that has stopped starts no task, and Run waits for the tasks of every term before it closes the data folder.

Conclusion: each goroutine of the leader has an owner.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -41,9 +41,12 @@
 	orders *orders
 
 	// ctx ends with the term.
-	ctx  context.Context
-	stop context.CancelFunc
-	wg   sync.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	tasksMu sync.Mutex
+	stopped bool
+	tasks   sync.WaitGroup
 
 	// The fields below are used by the tick only.
 	planner  *placement.Planner
@@ -62,7 +65,7 @@
 		lender:   rate.NewLender(term, now),
 		marks:    quarantine.NewTable(quarantine.Options{}),
 		ctx:      ctx,
-		stop:     cancel,
+		cancel:   cancel,
 		planner:  placement.NewPlanner(placement.Options{}),
 		revision: conf.Revision,
 		due:      map[string]time.Time{},
@@ -168,11 +171,26 @@
 	})
 }
 
-// background runs fn until it returns or the term ends.
+// background runs fn until it returns or the term ends. After stop it has no
+// effect: an RPC may still be answered from tables whose term has just ended.
 func (l *leader) background(fn func(context.Context)) {
-	l.wg.Go(func() { fn(l.ctx) })
+	l.tasksMu.Lock()
+	defer l.tasksMu.Unlock()
+	if !l.stopped {
+		l.tasks.Go(func() { fn(l.ctx) })
+	}
 }
 
+// stop ends the term's tasks. wait returns once they have ended.
+func (l *leader) stop() {
+	l.tasksMu.Lock()
+	defer l.tasksMu.Unlock()
+	l.stopped = true
+	l.cancel()
+}
+
+func (l *leader) wait() { l.tasks.Wait() }
+
 // mark counts crash marks and quarantines the fingerprints that earned it.
 func (l *leader) mark(marks []*apiv1.CrashMark, now time.Time) {
 	for _, m := range marks {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -209,8 +209,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leader != nil && s.leader.term != lease.Term {
-		s.leader.stop()
-		s.leader = nil
+		s.endTerm()
 	}
 	if s.leader == nil && lease.Held && s.machine.Config().Cluster == "" {
 		s.initialize(ctx, now)
@@ -248,11 +247,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leader != nil {
-		s.leader.stop()
-		s.leader = nil
+		s.endTerm()
 	}
 }
 
+// endTerm drops the leader's tables. The caller holds mu. Run waits for the
+// tasks, so that none uses the log or the data folder after its end.
+func (s *Server) endTerm() {
+	s.leader.stop()
+	s.background.Go(s.leader.wait)
+	s.leader = nil
+}
+
 // leading returns the leader's tables while the lease is held, else nil.
 func (s *Server) leading() *leader {
 	lease := s.replica.Lease()
--- a/internal/control/term_test.go
+++ b/internal/control/term_test.go
@@ -36,3 +36,22 @@
 		must.Len(t, 1, l.fleet.TakeUnloads(safe))
 	})
 }
+
+// A task that outlives its term would use the log after the server's end.
+func TestStoppedTermHasNoTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, "a")
+		l := f.lead(t, 3)
+		synctest.Wait()
+		ended := false
+		l.background(func(ctx context.Context) {
+			<-ctx.Done()
+			time.Sleep(time.Second)
+			ended = true
+		})
+		f.dropLeader()
+		l.background(func(context.Context) { t.Error("a task began after the term") })
+		f.Server.background.Wait()
+		must.True(t, ended)
+	})
+}
