Record a quarantine once

Cause: every mark of a fingerprint that has earned its quarantine proposed it again. Hosts repeat marks until they are answered and several hosts mark one crash, so that one request caused many commits, each of which moved the end of the quarantine and so changed the lists in every answer to a report. A mark with a fingerprint of another length was proposed each time, and the log dropped it.

Change: a fingerprint that is quarantined, or whose quarantine is being committed, is not proposed. Other lengths are ignored.

Each row of the test fails without its check (tried). TestSuspectsAreSentOnce is new and found no fault: with 10,000 suspects the second answer stays below 768 bytes; it fails without the digest.

Conclusion: a quarantine costs one entry of the log.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -39,6 +39,8 @@
 	lender *rate.Lender
 	marks  *quarantine.Table
 	orders *orders
+	// recording holds the fingerprints whose quarantine is being committed.
+	recording recording
 
 	// ctx ends with the term.
 	ctx    context.Context
@@ -190,29 +192,3 @@
 }
 
 func (l *leader) wait() { l.tasks.Wait() }
-
-// mark counts crash marks and quarantines the fingerprints that earned it.
-func (l *leader) mark(marks []*apiv1.CrashMark, now time.Time) {
-	for _, m := range marks {
-		crashes, stop := l.marks.Mark(m, now)
-		if !stop {
-			continue
-		}
-		l.s.metrics.quarantines.Add(1)
-		cmd := &apiv1.Command{UnixMs: now.UnixMilli(), Command: &apiv1.Command_PutQuarantine{
-			PutQuarantine: &apiv1.PutQuarantine{
-				Fingerprint: m.GetFingerprint(),
-				UntilUnixMs: now.Add(quarantineDuration).UnixMilli(),
-				Team:        m.GetTeam(),
-				Crashes:     crashes,
-			},
-		}}
-		l.logger.Warn().Str("decision", "quarantine").Hex("fingerprint", m.GetFingerprint()).
-			Uint32("crashes", crashes).Str("team", m.GetTeam()).Msg("request quarantined")
-		l.background(func(ctx context.Context) {
-			if _, err := l.s.replica.Propose(ctx, cmd); err != nil {
-				l.logger.Warn().Err(err).Msg("quarantine not recorded, the next crash repeats it")
-			}
-		})
-	}
-}
--- /dev/null
+++ b/internal/control/quarantine_test.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+)
+
+// marksOf returns the marks of one fingerprint at the crashes of 3 engines.
+func marksOf(fingerprint []byte) []*apiv1.CrashMark {
+	var out []*apiv1.CrashMark
+	for i := range 3 {
+		out = append(out, &apiv1.CrashMark{Fingerprint: fingerprint, BackendServer: fmt.Sprint("e", i), StartId: "s", Team: "t"})
+	}
+	return out
+}
+
+// A quarantine that is committed again with each repeated report fills the log
+// and never ends.
+func TestQuarantineIsRecordedOnce(t *testing.T) {
+	lost := func(context.Context, *apiv1.Command) (any, error) { return nil, errors.New("lost") }
+	for name, tc := range map[string]struct {
+		length   int
+		propose  func(context.Context, *apiv1.Command) (any, error)
+		pause    time.Duration
+		settle   bool // let each proposal end before the next report
+		proposed int
+	}{
+		"committed":         {length: 32, settle: true, proposed: 1},
+		"under way":         {length: 32, proposed: 1},
+		"not committed":     {length: 32, settle: true, propose: lost, proposed: 5},
+		"again after 1 h":   {length: 32, settle: true, pause: 16 * time.Minute, proposed: 2},
+		"not a fingerprint": {length: 31, settle: true, proposed: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, "a")
+				f.log.propose = tc.propose
+				l := f.lead(t, 3)
+				for i := range 5 {
+					// A new crash each time keeps the marks from expiring.
+					marks := marksOf(bytes.Repeat([]byte{7}, tc.length))
+					marks[0].StartId = fmt.Sprint(i)
+					l.mark(marks, time.Now())
+					if tc.settle {
+						synctest.Wait()
+					}
+					time.Sleep(tc.pause)
+				}
+				synctest.Wait()
+				must.Len(t, tc.proposed, f.log.proposed)
+				f.dropLeader()
+			})
+		})
+	}
+}
+
+// 10,000 suspects must cost a host one large answer, not one with each report.
+func TestSuspectsAreSentOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, "a")
+		l := f.lead(t, 3)
+		for i := range 10_000 {
+			m := marksOf(binary.BigEndian.AppendUint64(make([]byte, 24), uint64(i)))[:1]
+			l.mark(m, time.Now())
+		}
+		req := &apiv1.ReportRequest{Cluster: "c", Host: "h"}
+		first, err := l.report(req)
+		must.NoError(t, err)
+		must.Len(t, 10_000, first.GetSuspects())
+		req.SuspectsDigest = first.GetSuspectsDigest()
+		second, err := l.report(req)
+		must.NoError(t, err)
+		// 3 KB/s over 4 reports a second.
+		must.Less(t, 768, proto.Size(second))
+		f.dropLeader()
+	})
+}
