Say what a wait lacks, and confirm nothing without hosts

Cause: right after an election the leader knows no host, and wait called a change in force on 0 live hosts. Its error left silent hosts out and claimed that no control host answered when the change was not accepted yet.

Change: a wait needs a live host. Its error names the silent hosts, and tells a change that is not accepted from a leader without reports and from no answer.

Conclusion: wait no longer reports success without a confirmation. A new leader that has heard from some hosts only is still not told apart.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -50,11 +50,16 @@
 
 // NewControl returns a client of the control hosts at the base URLs.
 func NewControl(p *peer.Peer, urls []string, tryTimeout time.Duration) *Control {
-	c := &Control{tryTimeout: tryTimeout}
+	var endpoints []*Endpoint
 	for _, u := range urls {
-		c.endpoints = append(c.endpoints, NewEndpoint(p, u))
+		endpoints = append(endpoints, NewEndpoint(p, u))
 	}
-	return c
+	return NewControlOf(endpoints, tryTimeout)
+}
+
+// NewControlOf returns a client of the control hosts with these clients.
+func NewControlOf(endpoints []*Endpoint, tryTimeout time.Duration) *Control {
+	return &Control{endpoints: endpoints, tryTimeout: tryTimeout}
 }
 
 // Report sends a heartbeat of an entry host.
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -64,20 +64,21 @@
 func (c *command) waitInForce(ctx context.Context, number uint64, bound time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
-	var behind []string
+	var last *apiv1.StatusResponse
 	for {
 		resp, err := c.status(ctx)
 		if err == nil {
-			var live int
-			live, behind = lagging(resp, number)
-			if len(behind) == 0 && resp.GetRevision() >= number {
+			last = resp
+			live, behind := lagging(resp, number)
+			// A new leader knows no host until the first reports have come.
+			if live > 0 && len(behind) == 0 && resp.GetRevision() >= number {
 				fmt.Fprintf(c.Out, "in force: change %d on %d live hosts%s\n", number, live, silentNote(resp))
 				return nil
 			}
 		}
 		select {
 		case <-ctx.Done():
-			return notInForce(number, behind, err)
+			return notInForce(number, last, err)
 		case <-time.After(statusPoll):
 		}
 	}
@@ -111,13 +112,24 @@
 	return "; not confirmed by " + strings.Join(silent, ", ") + ", which refuse keyed routes once their view is 4 s old"
 }
 
-func notInForce(number uint64, behind []string, cause error) error {
-	what := "no control host answered"
-	if len(behind) > 0 {
-		what = "not confirmed by " + strings.Join(behind, ", ")
+// notInForce says what is missing in the last status, nil when none came.
+func notInForce(number uint64, last *apiv1.StatusResponse, cause error) error {
+	what, remedy := "no control host answered", "check that a majority of the control hosts runs, and wait again"
+	if last != nil {
+		live, behind := lagging(last, number)
+		switch {
+		case last.GetRevision() < number:
+			what = fmt.Sprintf("the last accepted change is %d", last.GetRevision())
+			remedy = "check the number with history"
+		case live == 0:
+			what = "the leader has not heard from any host yet" + silentNote(last)
+			remedy = "check that entry hosts run, and wait again"
+		default:
+			what = "not confirmed by " + strings.Join(behind, ", ") + silentNote(last)
+			remedy = "look at status, and wait again"
+		}
 	}
-	return fault.Wrap(cause, fault.KindDeadline, fmt.Sprintf("change %d is not known to be in force: %s", number, what),
-		"look at status, and wait again")
+	return fault.Wrap(cause, fault.KindDeadline, fmt.Sprintf("change %d is not known to be in force: %s", number, what), remedy)
 }
 
 func (c *command) explainCommand() *ffcli.Command {
