Name the number after a change whose answer timed out

Cause: an answer that did not come in time has the kind deadline_exceeded, and a broken one internal.

Change: both count as an open outcome.

Before: TestLostAnswerNamesTheNumber failed for these two kinds. After: it passes, and definite refusals still name no number.

Conclusion: each lost answer tells the operator what to repeat.

--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -109,8 +109,12 @@
 
 // unanswered names the number under which a lost answer can be asked for again.
 func unanswered(err error, number uint64) error {
-	if e, ok := fault.As(err); ok && e.Kind != fault.KindOutcomeUnknown && e.Kind != fault.KindUnavailable {
-		return err
+	if e, ok := fault.As(err); ok {
+		switch e.Kind {
+		case fault.KindOutcomeUnknown, fault.KindUnavailable, fault.KindDeadline, fault.KindInternal:
+		default:
+			return err
+		}
 	}
 	return fault.Wrap(err, fault.KindOutcomeUnknown, "the change may have been accepted",
 		fmt.Sprintf("send the same change again with -number %d; it is applied once at most", number))
