--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -39,11 +39,16 @@
 	lender *rate.Lender
 	marks  *quarantine.Table
 	orders *orders
+	// recording holds the fingerprints whose quarantine is being committed.
+	recording recording
 
 	// ctx ends with the term.
-	ctx  context.Context
-	stop context.CancelFunc
-	wg   sync.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	tasksMu sync.Mutex
+	stopped bool
+	tasks   sync.WaitGroup
 
 	// The fields below are used by the tick only.
 	planner  *placement.Planner
@@ -63,7 +68,7 @@
 		lender:   rate.NewLender(term, now),
 		marks:    quarantine.NewTable(quarantine.Options{}),
 		ctx:      ctx,
-		stop:     cancel,
+		cancel:   cancel,
 		planner:  placement.NewPlanner(placement.Options{}),
 		revision: conf.Revision,
 		due:      map[string]time.Time{},
@@ -170,33 +175,22 @@
 	})
 }
 
-// background runs fn until it returns or the term ends.
+// background runs fn until it returns or the term ends. After stop it has no
+// effect: an RPC may still be answered from tables whose term has just ended.
 func (l *leader) background(fn func(context.Context)) {
-	l.wg.Go(func() { fn(l.ctx) })
+	l.tasksMu.Lock()
+	defer l.tasksMu.Unlock()
+	if !l.stopped {
+		l.tasks.Go(func() { fn(l.ctx) })
+	}
 }
 
-// mark counts crash marks and quarantines the fingerprints that earned it.
-func (l *leader) mark(marks []*apiv1.CrashMark, now time.Time) {
-	for _, m := range marks {
-		crashes, stop := l.marks.Mark(m, now)
-		if !stop {
-			continue
-		}
-		l.s.metrics.quarantines.Add(1)
-		cmd := &apiv1.Command{UnixMs: now.UnixMilli(), Command: &apiv1.Command_PutQuarantine{
-			PutQuarantine: &apiv1.PutQuarantine{
-				Fingerprint: m.GetFingerprint(),
-				UntilUnixMs: now.Add(quarantineDuration).UnixMilli(),
-				Team:        m.GetTeam(),
-				Crashes:     crashes,
-			},
-		}}
-		l.logger.Warn().Str("decision", "quarantine").Hex("fingerprint", m.GetFingerprint()).
-			Uint32("crashes", crashes).Str("team", m.GetTeam()).Msg("request quarantined")
-		l.background(func(ctx context.Context) {
-			if _, err := l.s.replica.Propose(ctx, cmd); err != nil {
-				l.logger.Warn().Err(err).Msg("quarantine not recorded, the next crash repeats it")
-			}
-		})
-	}
+// stop ends the term's tasks. wait returns once they have ended.
+func (l *leader) stop() {
+	l.tasksMu.Lock()
+	defer l.tasksMu.Unlock()
+	l.stopped = true
+	l.cancel()
 }
+
+func (l *leader) wait() { l.tasks.Wait() }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -22,6 +22,7 @@
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/api/v1/apiv1connect"
 	"github.com/jasminesaddle/jasminesaddle/internal/client"
+	"github.com/jasminesaddle/jasminesaddle/internal/engine"
 	"github.com/jasminesaddle/jasminesaddle/internal/peer"
 	"github.com/jasminesaddle/jasminesaddle/internal/platform"
 	"github.com/jasminesaddle/jasminesaddle/internal/pool"
@@ -40,6 +41,19 @@
 	handoverTimeout = 3 * time.Second
 )
 
+// replicatedLog is what a Server uses of a replica.
+type replicatedLog interface {
+	Run(ctx context.Context) error
+	Step(ctx context.Context, req *apiv1.StepRequest) error
+	Propose(ctx context.Context, cmd *apiv1.Command) (any, error)
+	Lease() replica.Lease
+	Leader() *apiv1.Member
+	Status() replica.Status
+	AddMember(ctx context.Context, m *apiv1.Member) error
+	RemoveMember(ctx context.Context, diskID string) error
+	TransferLeadership(ctx context.Context) error
+}
+
 // Options configures a Server.
 type Options struct {
 	Cluster string
@@ -60,7 +74,8 @@
 	logger    zerolog.Logger
 	store     *storage.Store
 	machine   *state.Machine
-	replica   *replica.Replica
+	replica   replicatedLog
+	newEngine func(*apiv1.BackendServer) engineClient
 	transport *transport
 	pools     *pool.Set
 	syncView  *view.Server
@@ -93,6 +108,7 @@
 		endpoints: map[string]*client.Endpoint{},
 		metrics:   newMetrics(),
 	}
+	s.newEngine = func(b *apiv1.BackendServer) engineClient { return engine.New(b, s.pools) }
 	s.transport = newTransport(s)
 	s.replica, err = replica.New(replica.Options{
 		Cluster:   opts.Cluster,
@@ -170,15 +186,18 @@
 		case <-ctx.Done():
 			s.dropLeader()
 			return nil
-		case now := <-ticker.C:
-			s.tick(ctx, now)
+		case <-ticker.C:
+			s.tick(ctx)
 		}
 	}
 }
 
 // tick follows the leader lease and runs the leader's systems while it holds.
-func (s *Server) tick(ctx context.Context, now time.Time) {
+// The time is read after the lease. The time of the tick may lie before the
+// term after a pause, and the waits at the start of a term would be too short.
+func (s *Server) tick(ctx context.Context) {
 	lease := s.replica.Lease()
+	now := time.Now()
 	l := s.followLease(ctx, lease, now)
 	if l != nil && lease.Held {
 		l.tick(ctx, lease, now)
@@ -190,8 +209,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leader != nil && s.leader.term != lease.Term {
-		s.leader.stop()
-		s.leader = nil
+		s.endTerm()
 	}
 	if s.leader == nil && lease.Held && s.machine.Config().Cluster == "" {
 		s.initialize(ctx, now)
@@ -229,11 +247,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leader != nil {
-		s.leader.stop()
-		s.leader = nil
+		s.endTerm()
 	}
 }
 
+// endTerm drops the leader's tables. The caller holds mu. Run waits for the
+// tasks, so that none uses the log or the data folder after its end.
+func (s *Server) endTerm() {
+	s.leader.stop()
+	s.background.Go(s.leader.wait)
+	s.leader = nil
+}
+
 // leading returns the leader's tables while the lease is held, else nil.
 func (s *Server) leading() *leader {
 	lease := s.replica.Lease()
