--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -25,6 +25,7 @@
 	tables := r.Tables(TwoYears())
 	text, err := Rewrite(string(page), tables)
 	must.NoError(t, err)
+	must.Eq(t, len(tables), strings.Count(text, "<!-- table "), must.Sprint("a table of the page is not rewritten"))
 	for _, table := range tables {
 		must.Positive(t, len(table.Rows), must.Sprint(table.Name))
 		must.StrContains(t, text, table.Markdown())
