Take an owner for live until it had time to report

Cause: a new leader starts without hosts, and the owner of a running call was not live until its first report. A resend after an election was told outcome unknown, and to ask the service, while the call was running.

Conclusion: an election alone no longer makes a call's outcome unknown.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -191,12 +191,17 @@
 	})
 }
 
-// HostLive tells whether the incarnation of a host still sends reports.
+// HostLive tells whether the incarnation of a host still sends reports. Until
+// each live host has had time to report in this term, one that has not is taken
+// for live: a call that it runs is otherwise called lost after each election.
 func (t *Table) HostLive(name string, incarnation uint64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h, ok := t.hosts[name]
-	return ok && h.incarnation == incarnation && now.Sub(h.lastHeard) <= LiveBound
+	if !ok {
+		return now.Sub(t.start) <= LiveBound
+	}
+	return h.incarnation == incarnation && now.Sub(h.lastHeard) <= LiveBound
 }
 
 // Hosts returns the status of all known hosts sorted by name.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -199,3 +199,24 @@
 	f.t.LoadDone(o, false, f.now)
 	must.EqOp(t, apiv1.SlotState_SLOT_STATE_LOADING, f.t.Engines(f.now)[0].GetSlots()[0].GetState())
 }
+
+// The owner of a running call must not count as gone because a new leader has
+// not heard from it yet: its caller would be told that the outcome is unknown.
+func TestOwnerIsLiveUntilItHadTimeToReport(t *testing.T) {
+	for _, tc := range []struct {
+		host        string
+		incarnation uint64
+		after       time.Duration
+		live        bool
+	}{
+		{"unheard", 1, LiveBound, true},
+		{"unheard", 1, LiveBound + time.Millisecond, false},
+		{"h", 1, LiveBound, true},
+		{"h", 2, time.Second, false},
+		{"h", 1, LiveBound + time.Millisecond, false},
+	} {
+		f := &fixture{t: New(5, testStart, testConfig("1")), now: testStart}
+		f.report("h", 0, 0)
+		must.EqOp(t, tc.live, f.t.HostLive(tc.host, tc.incarnation, testStart.Add(tc.after)), must.Sprint(tc))
+	}
+}
