Bound the held time in a follower's age

Cause: the held time of an answer was believed as it came.

Change: the held time is at most the time since the question.

Before: the row held beyond the truth of TestFollowerAgeCountsFromTheQuestion failed. After: all rows pass under -race; they fail when the age counts from the answer, or from an answer that the follower has not caught up with.

Conclusion: a wrong held time can no longer hide a stale view.

--- a/internal/control/freshness.go
+++ b/internal/control/freshness.go
@@ -64,7 +64,9 @@
 	if err != nil || f.s.machine.Config().Revision < resp.GetRevision() {
 		return false
 	}
-	at := sent.Add(time.Duration(resp.GetHeldMs())*time.Millisecond - time.Duration(resp.GetAgeMs())*time.Millisecond)
+	// A hold longer than the whole question would date the answer in the future.
+	held := min(time.Duration(resp.GetHeldMs())*time.Millisecond, time.Since(sent))
+	at := sent.Add(held - time.Duration(resp.GetAgeMs())*time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if at.After(f.freshAt) {
