Serve as the leader until leadership is handed over

Cause: at a planned stop the leader dropped its tables at once, while it still led the log for up to the 3 s of the handover.

Change: the leader's systems end with the log, after the handover.

Before: TestLeaderServesUntilItHasHandedOver got not_leader during a handover of 1 s. After: the report is answered, and the tables are gone at the end of Run.

Conclusion: a planned stop of the leader leaves no gap beyond the handover.

--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -25,6 +25,8 @@
 	machine *state.Machine
 	leader  *apiv1.Member
 	propose func(context.Context, *apiv1.Command) (any, error)
+	// handOver runs while leadership is handed over.
+	handOver func()
 	// slow is how long a look at the lease takes, as after a pause of the process.
 	slow time.Duration
 
@@ -33,6 +35,17 @@
 	proposed []*apiv1.Command
 }
 
+func (f *fakeLog) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+func (f *fakeLog) TransferLeadership(context.Context) error {
+	f.handOver()
+	f.setLease(4, false)
+	return nil
+}
+
 func (f *fakeLog) Leader() *apiv1.Member { return f.leader }
 
 func (f *fakeLog) Lease() replica.Lease {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -155,7 +155,8 @@
 	g.Go(func() error { return s.replica.Run(logCtx) })
 	g.Go(func() error { return s.transport.run(logCtx) })
 	g.Go(func() error { return s.freshness.run(ctx) })
-	g.Go(func() error { return s.runSystems(ctx) })
+	// The leader goes on lending and answering until another one has taken over.
+	g.Go(func() error { return s.runSystems(logCtx) })
 	g.Go(func() error {
 		<-ctx.Done()
 		s.handOver()
--- a/internal/control/term_test.go
+++ b/internal/control/term_test.go
@@ -11,6 +11,7 @@
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/fleet"
+	"github.com/jasminesaddle/jasminesaddle/internal/storage"
 )
 
 // A term whose start is dated before its lease would lend and unload while
@@ -55,3 +56,30 @@
 		must.True(t, ended)
 	})
 }
+
+// A leader that drops its tables before another one leads refuses reports,
+// tokens and call records during a planned stop.
+func TestLeaderServesUntilItHasHandedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, "a")
+		var err error
+		f.store, err = storage.Open(t.TempDir(), storage.Options{})
+		must.NoError(t, err)
+		f.transport = newTransport(f.Server)
+		f.log.setLease(3, true)
+		served := false
+		f.log.handOver = func() {
+			time.Sleep(time.Second)
+			_, err := fleetHandler{f.Server}.Report(t.Context(), &apiv1.ReportRequest{Cluster: "c", Host: "h"})
+			served = err == nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- f.Run(ctx) }()
+		time.Sleep(time.Second)
+		cancel()
+		must.NoError(t, <-done)
+		must.True(t, served)
+		must.Nil(t, f.Server.leader)
+	})
+}
