Drop the clients of engines that are gone

Cause: the leader kept a client and its connections for each engine name that it had met in its term. Engines are replaced under new names all the time.

Change: when the configuration changes, clients and connections of engines that it no longer names are dropped.

Before: TestClientsOfRemovedEnginesAreDropped found the client after its engine was removed. After: it is gone.

Conclusion: the table follows the configuration.

--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -15,6 +15,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/api/v1/apiv1connect"
 	"github.com/jasminesaddle/jasminesaddle/internal/client"
 	"github.com/jasminesaddle/jasminesaddle/internal/engine"
+	"github.com/jasminesaddle/jasminesaddle/internal/pool"
 	"github.com/jasminesaddle/jasminesaddle/internal/replica"
 	"github.com/jasminesaddle/jasminesaddle/internal/state"
 )
@@ -116,6 +117,7 @@
 		replica:   f.log,
 		endpoints: map[string]*client.Endpoint{},
 		metrics:   newMetrics(),
+		pools:     pool.NewSet(pool.Options{}),
 		newEngine: func(b *apiv1.BackendServer) engineClient {
 			f.engine.address = b.GetAddress()
 			return f.engine
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -112,6 +112,7 @@
 	}
 	l.revision = conf.Revision
 	l.fleet.SetConfig(conf)
+	l.orders.forget(conf)
 	l.lender.SetTeams(conf.Teams(), now)
 }
 
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/config"
 	"github.com/jasminesaddle/jasminesaddle/internal/engine"
 	"github.com/jasminesaddle/jasminesaddle/internal/fleet"
 	"github.com/jasminesaddle/jasminesaddle/internal/replica"
@@ -61,6 +62,19 @@
 	return c.client
 }
 
+// forget drops the clients and connections of engines that the configuration no
+// longer names. Thousands of engines are replaced under new names in a term.
+func (o *orders) forget(conf *config.Snapshot) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for name := range o.clients {
+		if _, ok := conf.BackendServer(name); !ok {
+			delete(o.clients, name)
+			o.l.s.pools.Forget(name)
+		}
+	}
+}
+
 func (o *orders) scrapeAll() {
 	for _, b := range o.l.s.machine.Config().BackendServers() {
 		if b.GetKind() == apiv1.BackendKind_BACKEND_KIND_ENGINE && o.beginScrape(b.GetName()) {
--- a/internal/control/orders_test.go
+++ b/internal/control/orders_test.go
@@ -13,15 +13,18 @@
 
 // putEngine commits an engine under the name e.
 func (f *fixture) putEngine(t *testing.T, address string) {
-	n := f.machine.Config().Revision + 1
-	m := &apiv1.Manifest{
+	f.put(t, &apiv1.Manifest{
 		Cluster:    "c",
 		BaseModels: []*apiv1.BaseModel{{Name: "m"}},
 		BackendServers: []*apiv1.BackendServer{{
 			Name: "e", Address: address, Kind: apiv1.BackendKind_BACKEND_KIND_ENGINE, BaseModel: "m", Slots: 2,
 			FailureDomain: "d", Pool: "p", MaxBatch: 8,
 		}},
-	}
+	})
+}
+
+func (f *fixture) put(t *testing.T, m *apiv1.Manifest) {
+	n := f.machine.Config().Revision + 1
 	resp := f.machine.Apply(n+1, &apiv1.Command{Command: &apiv1.Command_Change{Change: &apiv1.ChangeCommand{Number: n, Manifest: m}}})
 	must.EqOp(t, apiv1.ApplyOutcome_APPLY_OUTCOME_ACCEPTED, resp.(*apiv1.ApplyResponse).GetOutcome(), must.Sprint(resp))
 }
@@ -81,3 +84,19 @@
 		f.dropLeader()
 	})
 }
+
+// A leader that keeps the clients of engines that are gone grows without bound.
+func TestClientsOfRemovedEnginesAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, "a")
+		f.putEngine(t, "http://127.0.0.1:1")
+		l := f.lead(t, 3)
+		synctest.Wait()
+		must.MapLen(t, 1, l.orders.clients)
+		f.put(t, &apiv1.Manifest{Cluster: "c"})
+		f.tick(t.Context())
+		synctest.Wait()
+		must.MapEmpty(t, l.orders.clients)
+		f.dropLeader()
+	})
+}
