--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -15,6 +15,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/api/v1/apiv1connect"
 	"github.com/jasminesaddle/jasminesaddle/internal/client"
 	"github.com/jasminesaddle/jasminesaddle/internal/engine"
+	"github.com/jasminesaddle/jasminesaddle/internal/pool"
 	"github.com/jasminesaddle/jasminesaddle/internal/replica"
 	"github.com/jasminesaddle/jasminesaddle/internal/state"
 )
@@ -25,6 +26,8 @@
 	machine *state.Machine
 	leader  *apiv1.Member
 	propose func(context.Context, *apiv1.Command) (any, error)
+	// handOver runs while leadership is handed over.
+	handOver func()
 	// slow is how long a look at the lease takes, as after a pause of the process.
 	slow time.Duration
 
@@ -33,6 +36,17 @@
 	proposed []*apiv1.Command
 }
 
+func (f *fakeLog) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+func (f *fakeLog) TransferLeadership(context.Context) error {
+	f.handOver()
+	f.setLease(4, false)
+	return nil
+}
+
 func (f *fakeLog) Leader() *apiv1.Member { return f.leader }
 
 func (f *fakeLog) Lease() replica.Lease {
@@ -103,6 +117,7 @@
 		replica:   f.log,
 		endpoints: map[string]*client.Endpoint{},
 		metrics:   newMetrics(),
+		pools:     pool.NewSet(pool.Options{}),
 		newEngine: func(b *apiv1.BackendServer) engineClient {
 			f.engine.address = b.GetAddress()
 			return f.engine
