Wait for a leader in the operator's command; bound the sessions that run at once

Cause: one full run failed because a leader changed under ten sessions at once, and jasminectl gave up at once with not_leader. At most six session scripts run at the same time.

Also: /healthz on the internal listener, replaced transports are logged, the remedy for a bad key hash names the command that exists, and replica log lines name the host once.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -104,7 +104,7 @@
 		logger:    opts.Logger.With().Str("host", opts.Self.GetHost()).Logger(),
 		store:     store,
 		machine:   state.New(),
-		pools:     pool.NewSet(pool.Options{}),
+		pools:     pool.NewSet(pool.Options{Logger: opts.Logger}),
 		endpoints: map[string]*client.Endpoint{},
 		metrics:   newMetrics(),
 	}
@@ -117,7 +117,7 @@
 		Store:     store,
 		Machine:   s.machine,
 		Transport: s.transport,
-		Logger:    s.logger,
+		Logger:    opts.Logger,
 	})
 	if err != nil {
 		_ = store.Close()
--- a/internal/manifest/entity.go
+++ b/internal/manifest/entity.go
@@ -161,7 +161,7 @@
 	}
 	if _, ok := keyHash(k.GetSha256()); !ok {
 		// The value is not shown: it could be the key itself.
-		p.add(at+".sha256", "give 64 lower-case hex digits, as jasminectl keys prints them", "it is not the SHA-256 of a key")
+		p.add(at+".sha256", "give 64 lower-case hex digits, as jasminectl key issue makes it", "it is not the SHA-256 of a key")
 	}
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -37,6 +37,7 @@
 	Streams
 	connection settings.Connection
 	json       bool
+	timeout    time.Duration
 	control    *client.Control
 	peer       *peer.Peer
 }
@@ -51,6 +52,7 @@
 	fs.SetOutput(streams.Err)
 	c.connection.Flags(fs)
 	fs.BoolVar(&c.json, "json", false, "print answers as JSON")
+	fs.DurationVar(&c.timeout, "timeout", defaultTimeout, "bound on one call, while no leader answers")
 	root := &ffcli.Command{
 		Name:       "jasminectl",
 		ShortUsage: "jasminectl [flags] SUBCOMMAND",
@@ -94,6 +96,13 @@
 	return fault.New(fault.KindInvalidSetting, "the command is not complete", remedy)
 }
 
+const (
+	// defaultTimeout outlasts an election, which takes about 2 s.
+	defaultTimeout = 10 * time.Second
+	// leaderPause is the time between two looks for a leader.
+	leaderPause = 200 * time.Millisecond
+)
+
 // operatorTryTimeout bounds one try on one control host. A change waits for a
 // quorum, and right after an election for the new leader.
 const operatorTryTimeout = 5 * time.Second
@@ -122,7 +131,25 @@
 	if err != nil {
 		return nil, err
 	}
-	return client.Operator(ctx, control, fn)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	for {
+		resp, err := client.Operator(ctx, control, fn)
+		if err == nil || !awaitsLeader(err) {
+			return resp, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(leaderPause):
+		}
+	}
+}
+
+// awaitsLeader tells whether nothing was carried out because no leader answered,
+// as during an election.
+func awaitsLeader(err error) bool {
+	return fault.Is(err, fault.KindNotLeader) || fault.Is(err, fault.KindUnavailable)
 }
 
 // inForce returns the configuration in force.
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -62,7 +62,7 @@
 		View:          h.view,
 		Account:       account,
 		Calls:         agent.Calls{Cluster: s.Cluster, Control: control},
-		Pools:         pool.NewSet(pool.Options{}),
+		Pools:         pool.NewSet(pool.Options{Logger: logger}),
 		Trace:         trace.NewRing(traceSize),
 		Logger:        logger,
 		Seed:          incarnation,
@@ -162,5 +162,6 @@
 	mux := http.NewServeMux()
 	mux.Handle(apiv1connect.NewConfigServiceHandler(view.NewServer(h.settings.Cluster, h.view), h.peer.HandlerOptions()...))
 	mux.Handle("GET /debug/", h.server.DebugHandler())
+	mux.Handle("GET /healthz", h.server.DebugHandler())
 	return mux
 }
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -43,7 +43,12 @@
 	})
 }
 
+// maxSessions bounds the scripts that run at once. Each has about eight
+// processes, and a busy machine would take their leases away.
+const maxSessions = 6
+
 func TestSessions(t *testing.T) {
+	slots := make(chan struct{}, maxSessions)
 	testscript.Run(t, testscript.Params{
 		Dir:           "testdata",
 		UpdateScripts: *update,
@@ -65,6 +70,8 @@
 			"capture":     capture,
 		},
 		Setup: func(env *testscript.Env) error {
+			slots <- struct{}{}
+			env.Defer(func() { <-slots })
 			all := processes{}
 			env.Values[processesKey{}] = all
 			env.Defer(all.killAll)
