--- a/internal/control/calls_test.go
+++ b/internal/control/calls_test.go
@@ -27,7 +27,7 @@
 			must.NoError(t, err)
 			must.EqOp(t, 1, f.machine.CallCount())
 			time.Sleep(tc.after)
-			l.tick(t.Context(), f.log.Lease(), time.Now())
+			l.tick(f.log.Lease(), time.Now())
 			synctest.Wait()
 			must.EqOp(t, tc.kept, f.machine.CallCount())
 			f.dropLeader()
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/calls"
 	"github.com/jasminesaddle/jasminesaddle/internal/client"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/peer"
@@ -113,6 +114,9 @@
 }
 
 func (l *leader) beginCall(ctx context.Context, call *apiv1.BeginCall) (*apiv1.BeginCallResponse, error) {
+	if err := calls.Validate(call); err != nil {
+		return nil, err
+	}
 	now := time.Now()
 	resp, err := propose[apiv1.BeginCallResponse](ctx, l.s, &apiv1.Command{
 		UnixMs:  now.UnixMilli(),
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -80,7 +80,7 @@
 }
 
 // tick runs the leader's systems. Each costs what changed or what is due.
-func (l *leader) tick(ctx context.Context, lease replica.Lease, now time.Time) {
+func (l *leader) tick(lease replica.Lease, now time.Time) {
 	l.followConfig(now)
 	l.fleet.Tick(now)
 	l.lender.Tick(now)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -201,7 +201,7 @@
 	now := time.Now()
 	l := s.followLease(ctx, lease, now)
 	if l != nil && lease.Held {
-		l.tick(ctx, lease, now)
+		l.tick(lease, now)
 	}
 }
 
