--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"bytes"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -40,3 +41,25 @@
 		must.Eq(t, row.leaving, l.Leaving())
 	}
 }
+
+// The platform's list comes from outside. Whatever it holds, reading it must not
+// panic, and an accepted host has a name and a known state.
+func FuzzDecode(f *testing.F) {
+	for _, body := range []string{
+		`{"hosts":[{"name":"a","state":"live"},{"name":"b","state":"leaving"}]}`,
+		`{"hosts":[{"name":"","state":"live"}]}`, `{"hosts":null}`, `{"hosts":[`, `[]`, `{"hosts":[{"name":1}]}`,
+	} {
+		f.Add([]byte(body))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		l, err := Decode(bytes.NewReader(body))
+		if err != nil {
+			return
+		}
+		for _, h := range l.Hosts {
+			if h.Name == "" || (h.State != StateLive && h.State != StateLeaving) {
+				t.Fatalf("accepted %+v from %q", h, body)
+			}
+		}
+	})
+}
