Drain the process that an order names, and no later one of the same name

Cause: an order to drain was kept by the host's name. A host that was started again under it left the fleet at once, until the operator took the order back, and an order for a name that nobody has was accepted.

Change: the order belongs to the host's running process; an unknown host is refused with a typed error. A client without control hosts returns an error.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -103,6 +103,9 @@
 // that leaves the outcome open is returned rather than a later refusal, since
 // the request may have been carried out.
 func try[Resp any](ctx context.Context, c *Control, fn func(context.Context, *Endpoint) (*Resp, error)) (*Resp, error) {
+	if len(c.endpoints) == 0 {
+		return nil, fault.New(fault.KindInvalidSetting, "no control host is named", "set -control").At("control")
+	}
 	first := c.preferred.Load()
 	var open, last error
 	for i := range int64(len(c.endpoints)) {
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -81,3 +81,10 @@
 		})
 	}
 }
+
+// A client without control hosts must not answer with neither a result nor an
+// error, which its callers would dereference.
+func TestNoControlHosts(t *testing.T) {
+	_, err := newFake().Report(t.Context(), &apiv1.ReportRequest{})
+	must.EqOp(t, fault.KindInvalidSetting, fault.KindOf(err))
+}
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -155,7 +155,10 @@
 func (h operatorHandler) DrainHost(ctx context.Context, req *apiv1.DrainHostRequest) (*apiv1.DrainHostResponse, error) {
 	resp, err := serve(ctx, h.s, "drain_host", req.GetCluster(),
 		func(l *leader) (*apiv1.DrainHostResponse, error) {
-			l.fleet.SetDrain(req.GetHost(), !req.GetCancel())
+			if !l.fleet.SetDrain(req.GetHost(), !req.GetCancel()) {
+				return nil, fault.Newf(fault.KindInvalidRequest, "name an entry host that status lists",
+					"no host %q reports to the leader", req.GetHost()).At("host")
+			}
 			l.logger.Info().Str("decision", "drain").Str("drained_host", req.GetHost()).Bool("cancel", req.GetCancel()).Msg("drain")
 			return &apiv1.DrainHostResponse{}, nil
 		},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -87,8 +87,6 @@
 	starts        []time.Time
 	// leaving holds the backend servers that the platform's list calls leaving.
 	leaving map[string]bool
-	// drains holds the hosts that an operator asked to leave.
-	drains map[string]bool
 }
 
 type failureKey struct {
@@ -112,7 +110,6 @@
 		demand:   map[Ref]*demand{},
 		failures: map[failureKey]*failure{},
 		leaving:  map[string]bool{},
-		drains:   map[string]bool{},
 	}
 	t.SetConfig(conf)
 	return t
@@ -154,15 +151,17 @@
 	}
 }
 
-// SetDrain asks a host to leave or takes the request back.
-func (t *Table) SetDrain(host string, drain bool) {
+// SetDrain asks the running process of a host to leave, or takes that back. It
+// returns false when no such host reports. The order does not hold for a process
+// that is started under the name later.
+func (t *Table) SetDrain(name string, drain bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if drain {
-		t.drains[host] = true
-		return
+	h, ok := t.hosts[name]
+	if ok {
+		h.drain = drain
 	}
-	delete(t.drains, host)
+	return ok
 }
 
 // bump starts a new fleet version, which hosts confirm in their reports.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -250,3 +250,15 @@
 		must.EqOp(t, tc.live, f.t.HostLive(tc.host, tc.incarnation, testStart.Add(tc.after)), must.Sprint(tc))
 	}
 }
+
+// An order to drain must reach the process that it was given for and no later
+// one of the same name, which would leave the fleet as soon as it starts.
+func TestDrainHoldsForOneProcess(t *testing.T) {
+	f := newFixture()
+	must.False(t, f.t.SetDrain("h", true))
+	f.report("h", 0, 0)
+	must.True(t, f.t.SetDrain("h", true))
+	must.True(t, f.report("h", 0, 0).GetDrain())
+	restarted := f.t.Report(&apiv1.ReportRequest{Host: "h", Incarnation: 2}, f.now)
+	must.False(t, restarted.GetDrain())
+}
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -16,11 +16,13 @@
 
 // host is one entry host as its last report described it.
 type host struct {
-	name         string
-	incarnation  uint64
-	address      string
-	domain       string
-	leaving      bool
+	name        string
+	incarnation uint64
+	address     string
+	domain      string
+	leaving     bool
+	// drain is true once an operator has asked this process to leave.
+	drain        bool
 	lastHeard    time.Time
 	configRev    uint64
 	fleetTerm    uint64
@@ -119,7 +121,7 @@
 		Term:         t.term,
 		FleetVersion: t.version,
 		Full:         full,
-		Drain:        t.drains[h.name],
+		Drain:        h.drain,
 	}
 	for _, name := range slices.Sorted(maps.Keys(t.engines)) {
 		e := t.engines[name]
