--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -15,7 +15,7 @@
 //     first token comes within 1 s (interactive) or 10 s (batch) of when the
 //     oracle admits the request.
 //   - Refusals within the rate: requests that were refused or timed out in the
-//     queue, for whatever reason, although the judge had the tokens at that
+//     queue, for whatever reason, although the reference had the tokens at that
 //     time, divided by the requests within the rate.
 //   - Time to first token: quantiles over the measured requests that were served.
 //
@@ -23,7 +23,7 @@
 // admits the team's requests in the order of arrival, each within its class's
 // wait bound; those are within the rate. It takes prompt + max_tokens and
 // returns the unused part after the request's nominal duration, and does not
-// depend on the policy. The judge is such a bucket with the requests that the
+// depend on the policy. The reference is such a bucket with the requests that the
 // policy admitted, at the time when it did; it is charged with a refusal within
 // the rate as well, so that no token accounts for two refusals.
 //
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// Guards against a judge or an oracle that calls requests within the rate beyond
+// Guards against a reference or an oracle that calls requests within the rate beyond
 // burst + rate x time.
 func TestOracle(t *testing.T) {
 	var requests []*request
@@ -52,7 +52,7 @@
 		}
 	}
 	must.Between(t, 40, admitted, 47) // (900 + 1000 x (10..13 s)) / 300
-	j := judge{newBucket(1000, 900)}
+	j := reference{newBucket(1000, 900)}
 	j.admit(requests[0], epoch)
 	must.True(t, j.refuse(requests[0], epoch))
 	must.True(t, j.refuse(requests[0], epoch))
--- a/internal/bench/host.go
+++ b/internal/bench/host.go
@@ -159,10 +159,10 @@
 	h.tokens[r.team] -= r.tokens()
 	e := h.w.engines[engine]
 	r.stall = h.w.stall(r)
-	h.w.judge.admit(r, h.w.now)
+	h.w.reference.admit(r, h.w.now)
 	if !e.up(h.w.now) {
 		h.rates.settle(r, 0, h.w.now)
-		h.w.judge.settle(r, 0, h.w.now)
+		h.w.reference.settle(r, 0, h.w.now)
 		r.outcome = failed
 		return
 	}
@@ -175,7 +175,7 @@
 func (h *host) finished(r *request) {
 	h.own[r.engine]--
 	h.rates.settle(r, r.used(), h.w.now)
-	h.w.judge.settle(r, r.used(), h.w.now)
+	h.w.reference.settle(r, r.used(), h.w.now)
 }
 
 // waitingGroups lists the groups without a ready engine.
--- a/internal/bench/oracle.go
+++ b/internal/bench/oracle.go
@@ -98,12 +98,12 @@
 	return b
 }
 
-// judge is the central bucket of each team with what was really admitted. It
+// reference is the central bucket of each team with what was really admitted. It
 // tells whether a refusal was within the rate.
-type judge []*bucket
+type reference []*bucket
 
-func newJudge(teams []*apiv1.Team) judge {
-	var j judge
+func newJudge(teams []*apiv1.Team) reference {
+	var j reference
 	for _, t := range teams {
 		j = append(j, newBucket(float64(t.GetRate().GetTokensPerSecond()), float64(t.GetRate().GetBurstTokens())))
 	}
@@ -113,7 +113,7 @@
 // refuse tells whether the team's bucket has the tokens that r asks for. The
 // bucket is then charged with what r would have used, so that a token that was
 // not lent to anyone accounts for one refusal only.
-func (j judge) refuse(r *request, now time.Time) bool {
+func (j reference) refuse(r *request, now time.Time) bool {
 	j[r.team].advance(now)
 	if j[r.team].level < float64(r.tokens()) {
 		return false
@@ -122,11 +122,11 @@
 	return true
 }
 
-func (j judge) admit(r *request, now time.Time) {
+func (j reference) admit(r *request, now time.Time) {
 	j[r.team].advance(now)
 	j[r.team].level -= float64(r.tokens())
 }
 
-func (j judge) settle(r *request, used uint64, now time.Time) {
+func (j reference) settle(r *request, used uint64, now time.Time) {
 	j[r.team].give(r.tokens()-used, now)
 }
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -13,21 +13,21 @@
 
 // world is the state of one run.
 type world struct {
-	cfg      Config
-	now      time.Time
-	ticks    int
-	teams    []*apiv1.Team
-	names    []string
-	requests []*request
-	next     int
-	engines  []*fakeEngine
-	control  *control
-	lender   *rate.Lender
-	judge    judge
-	hosts    []*host
-	crashes  map[int]time.Time // engine to time
-	lostHost int
-	lostAt   time.Time
+	cfg       Config
+	now       time.Time
+	ticks     int
+	teams     []*apiv1.Team
+	names     []string
+	requests  []*request
+	next      int
+	engines   []*fakeEngine
+	control   *control
+	lender    *rate.Lender
+	reference reference
+	hosts     []*host
+	crashes   map[int]time.Time // engine to time
+	lostHost  int
+	lostAt    time.Time
 	// readySince is when an adapter version last became ready after it was not.
 	readySince map[placement.Ref]time.Time
 	teamsByRef map[placement.Ref]string
@@ -48,7 +48,7 @@
 	}
 	// An earlier lender's tokens expired before the run.
 	w.lender = rate.NewLender(1, epoch.Add(-time.Minute))
-	w.judge = newJudge(w.teams)
+	w.reference = newJudge(w.teams)
 	w.lender.SetTeams(w.teams, epoch.Add(-time.Minute))
 	for i := range cfg.Deployment.Engines {
 		w.names = append(w.names, engineName(i))
@@ -117,7 +117,7 @@
 func (w *world) refuse(r *request, why outcome) {
 	r.outcome = why
 	r.stall = w.stall(r)
-	r.wrongful = w.judge.refuse(r, w.now)
+	r.wrongful = w.reference.refuse(r, w.now)
 }
 
 func (w *world) noteReady(ref placement.Ref) {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -41,7 +41,7 @@
 	var earlier error
 	for n := 1; ; n++ {
 		v, err := s.attempt(ctx, w, call, n)
-		err = truthful(err, earlier)
+		err = withEarlierOutcome(err, earlier)
 		if err == nil || v == final || w.x.started || n >= s.limits.Attempts {
 			return err
 		}
@@ -58,14 +58,14 @@
 		}
 		s.decide(w.x, step, string(fault.KindOf(err)), n)
 		if err := s.requeue(ctx, w); err != nil {
-			return truthful(err, earlier)
+			return withEarlierOutcome(err, earlier)
 		}
 	}
 }
 
-// truthful returns the error that a request ends with after an earlier attempt
+// withEarlierOutcome returns the error that a request ends with after an earlier attempt
 // failed. A later attempt that did not run says nothing about the earlier one.
-func truthful(err, earlier error) error {
+func withEarlierOutcome(err, earlier error) error {
 	if err == nil || earlier == nil || runOf(err) != fault.NotRun || runOf(earlier) == fault.NotRun {
 		return err
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -103,7 +103,7 @@
 	}
 	var earlier error
 	for n := 1; ; n++ {
-		err := truthful(s.serviceAttempt(ctx, w, call, n), earlier)
+		err := withEarlierOutcome(s.serviceAttempt(ctx, w, call, n), earlier)
 		if err == nil || x.started || n >= s.limits.Attempts || !retryableService(err) {
 			return err
 		}
@@ -115,7 +115,7 @@
 		s.metrics.retries.Add(1)
 		s.decide(x, stepRetry, string(fault.KindOf(err)), n)
 		if err := s.requeue(ctx, w); err != nil {
-			return truthful(err, earlier)
+			return withEarlierOutcome(err, earlier)
 		}
 	}
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -98,13 +98,13 @@
 		t.reorder(s)
 		t.bound()
 	}
-	return uint32(len(s.marks)), t.judge(s)
+	return uint32(len(s.marks)), t.isHarmful(s)
 }
 
-// judge applies the rule. Ordinary crashes hit the same request three times
+// isHarmful applies the rule. Ordinary crashes hit the same request three times
 // only by coincidence, because suspects are kept apart and crash other servers
 // only when they are the cause.
-func (t *Table) judge(s *suspect) bool {
+func (t *Table) isHarmful(s *suspect) bool {
 	if len(s.servers) >= t.opts.Crashes {
 		return true
 	}
--- a/internal/rate/account.go
+++ b/internal/rate/account.go
@@ -48,19 +48,19 @@
 	sequence    uint64
 	term        uint64
 	applied     uint64 // last sequence whose answer was applied
-	teams       map[string]*purse
+	teams       map[string]*balance
 	lastRequest time.Time
 }
 
 // NewAccount returns an account without tokens.
 func NewAccount(host string, incarnation uint64) *Account {
-	return &Account{host: host, incarnation: incarnation, teams: map[string]*purse{}}
+	return &Account{host: host, incarnation: incarnation, teams: map[string]*balance{}}
 }
 
-func (a *Account) purse(team string) *purse {
+func (a *Account) balance(team string) *balance {
 	p := a.teams[team]
 	if p == nil {
-		p = &purse{}
+		p = &balance{}
 		a.teams[team] = p
 	}
 	return p
@@ -71,7 +71,7 @@
 func (a *Account) Reserve(team string, tokens uint64, now time.Time) (Reservation, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	p := a.purse(team)
+	p := a.balance(team)
 	p.advance(now)
 	r := &reservation{team: team, tokens: tokens}
 	if !p.take(r, now) {
@@ -94,7 +94,7 @@
 		return
 	}
 	r.settled = true
-	p := a.purse(r.team)
+	p := a.balance(r.team)
 	p.advance(now)
 	p.settle(r, used)
 }
@@ -104,7 +104,7 @@
 func (a *Account) Want(team string, tokens uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.purse(team).queued = tokens
+	a.balance(team).queued = tokens
 }
 
 // Lacking tells whether queued requests of any team lack tokens, so that the
@@ -168,7 +168,7 @@
 		}
 	}
 	for _, g := range resp.GetGrants() {
-		a.purse(g.GetTeam()).apply(g, sent)
+		a.balance(g.GetTeam()).apply(g, sent)
 	}
 }
 
@@ -176,7 +176,7 @@
 func (a *Account) RetryAfter(team string, tokens uint64, now time.Time) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	p := a.purse(team)
+	p := a.balance(team)
 	p.advance(now)
 	if p.available() >= tokens {
 		return 0
--- a/internal/rate/purse.go
+++ b/internal/rate/balance.go
@@ -6,9 +6,9 @@
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 )
 
-// purse is one team's tokens on one host. held + open + spent + returned is the
+// balance is one team's tokens on one host. held + open + spent + returned is the
 // number of tokens received from the lender of the current term.
-type purse struct {
+type balance struct {
 	held, spent, returned uint64
 	open                  uint64            // sum of refundable reservations
 	slots                 [holdSlots]uint64 // open by age class
@@ -23,10 +23,10 @@
 	retryAt               time.Time
 }
 
-func (p *purse) available() uint64 { return p.held + p.previous }
+func (p *balance) available() uint64 { return p.held + p.previous }
 
 // advance expires tokens and ends the refund of reservations that are too old.
-func (p *purse) advance(now time.Time) {
+func (p *balance) advance(now time.Time) {
 	if p.previous > 0 && !now.Before(p.previousExpires) {
 		p.previous = 0
 	}
@@ -38,7 +38,7 @@
 	p.age(now)
 }
 
-func (p *purse) age(now time.Time) {
+func (p *balance) age(now time.Time) {
 	slot := now.UnixNano() / int64(slotSpan)
 	if slot <= p.slot {
 		return
@@ -52,14 +52,14 @@
 	p.slot = slot
 }
 
-func (p *purse) voidOpen() {
+func (p *balance) voidOpen() {
 	p.spent += p.open
 	p.open = 0
 	p.slots = [holdSlots]uint64{}
 	p.generation++
 }
 
-func (p *purse) take(r *reservation, now time.Time) bool {
+func (p *balance) take(r *reservation, now time.Time) bool {
 	if p.available() < r.tokens {
 		return false
 	}
@@ -78,7 +78,7 @@
 	return true
 }
 
-func (p *purse) settle(r *reservation, used uint64) {
+func (p *balance) settle(r *reservation, used uint64) {
 	if used > r.tokens {
 		p.debt += used - r.tokens
 		p.payDebt()
@@ -93,7 +93,7 @@
 	p.held += r.tokens - used
 }
 
-func (p *purse) payDebt() {
+func (p *balance) payDebt() {
 	paid := min(p.debt, p.held)
 	p.held -= paid
 	p.spent += paid
@@ -102,7 +102,7 @@
 
 // changeTerm starts new counters. The tokens of the earlier lender stay usable
 // until they expire, which the new lender waits for.
-func (p *purse) changeTerm() {
+func (p *balance) changeTerm() {
 	p.voidOpen()
 	if p.held > 0 {
 		p.previous, p.previousExpires = p.held, p.expires
@@ -110,7 +110,7 @@
 	p.held, p.spent, p.returned = 0, 0, 0
 }
 
-func (p *purse) apply(g *apiv1.TeamGrant, sent time.Time) {
+func (p *balance) apply(g *apiv1.TeamGrant, sent time.Time) {
 	p.retryAt = sent.Add(time.Duration(g.GetRetryAfterMs()) * time.Millisecond)
 	if g.GetValidMs() == 0 {
 		p.voidOpen()
@@ -125,7 +125,7 @@
 // estimate updates the demand per second, with a time constant of 1 s. A single
 // large request of a small team must not look like a high rate, or each host
 // would hold a part of a burst that is worth a few requests only.
-func (p *purse) estimate(interval time.Duration) {
+func (p *balance) estimate(interval time.Duration) {
 	if interval <= 0 {
 		return
 	}
@@ -143,7 +143,7 @@
 )
 
 // report returns the team's part of a request, or nil when there is nothing to say.
-func (p *purse) report(team string) *apiv1.TeamBorrow {
+func (p *balance) report(team string) *apiv1.TeamBorrow {
 	target := uint64(p.demand*targetSeconds) + p.queued + p.debt
 	p.queued = 0
 	if keep := uint64(keepRatio * float64(target)); p.held > keep {
