--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -60,13 +60,9 @@
 	OrderPause time.Duration
 	// ListInterval is the time between two reads of the list.
 	ListInterval time.Duration
-	// BurstExtra and RateFactor are the part of the tolerated excess over a
-	// team's rate that is lent, so that the division over hosts refuses nobody
-	// within its rate.
-	BurstExtra uint64
-	RateFactor float64
-	Logger     zerolog.Logger
-	Meter      *meter.Set
+	Tolerance    Tolerance
+	Logger       zerolog.Logger
+	Meter        *meter.Set
 	// Now is a clock that counts suspended time.
 	Now func() time.Time
 }
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -133,22 +133,11 @@
 		if !t.Limited() {
 			continue
 		}
-		out = append(out, &apiv1.Team{Name: t.Name, Rate: &apiv1.Rate{
-			TokensPerSecond: uint64(float64(t.Rate) * c.opts.RateFactor),
-			BurstTokens:     t.Burst + c.burstExtra(t),
-		}})
+		out = append(out, &apiv1.Team{Name: t.Name, Rate: c.opts.Tolerance.lent(t)})
 	}
 	return out
 }
 
-// burstExtra is the tolerated excess; it is counted in tokens.
-func (c *Coordinator) burstExtra(t catalog.Team) uint64 {
-	if t.ByTokens {
-		return c.opts.BurstExtra
-	}
-	return c.opts.BurstExtra / max(t.PlainTokens, 1)
-}
-
 // readList reads the platform's list and brings the table up to date.
 func (l *leader) readList() {
 	ctx, cancel := context.WithTimeout(l.ctx, listTimeout)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -194,7 +194,7 @@
 		}
 		left := tokenPatience - now.Sub(began)
 		if left <= 0 || ctx.Err() != nil {
-			return fault.Newf(fault.KindRateLimited, "send the request later", "team %s is beyond its rate", f.team.Name).
+			return fault.Newf(fault.KindRateLimited, "send the request later", "team %s is beyond its rate of %d/s with a burst of %d", f.team.Name, f.team.Rate, f.team.Burst).
 				WithRun(fault.NotRun).After(f.g.opts.Account.RetryAfter(f.team.Name, cost, now))
 		}
 		f.g.opts.Account.Want(f.team.Name, cost)
@@ -234,7 +234,7 @@
 		e = e.Str("route", f.route.Name)
 	}
 	if f.team != nil {
-		e = e.Str("team", f.team.Name)
+		e = e.Str("team", f.team.Name).Uint64("cost", f.team.Cost(f.r.Tokens()))
 	}
 	if f.r.Generation {
 		e = e.Str("copy", f.r.Weights.String()).Int("prompt_tokens", f.r.PromptTokens).Int("loads", f.loads)
