Divide rates as standing parts, and go on after an order without an answer

The lender grants single tokens that end 2 s after the leader is lost, and a new lender waits 2.5 s more; an order without an answer held its engine back for 0.9 s. Change: package share divides each rate by what is asked; hosts go on with their part for 8 s. A doubtful order is void once the next is accepted, so that it holds nothing. Election time-out 0.6 s instead of 1 s.

--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -7,6 +7,7 @@
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
+	"github.com/jasminesaddle/jasminesaddle/internal/share"
 )
 
 // hostUse is the last report of one entry host.
@@ -30,13 +31,11 @@
 	c.metrics.exchanges.Add(1)
 	now := c.opts.Now()
 	c.markCrashes(l, req, now)
-	if req.GetBorrow() != nil {
-		resp.Borrow = l.lender.Borrow(req.GetBorrow(), now)
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.followStateLocked(now)
 	l.takeReport(req, now)
+	l.addParts(req, resp, now)
 	l.addState(req, resp)
 	l.addFleet(req, resp, now)
 	resp.Suspects = l.marks.Suspects(now)
@@ -243,3 +242,18 @@
 func (c *Coordinator) Join(_ context.Context, req *apiv1.JoinRequest) (*apiv1.JoinResponse, error) {
 	return c.opts.Log.Join(req), nil
 }
+
+// addParts books what the host tells of its parts of the rates and adds the new
+// ones.
+func (l *leader) addParts(req *apiv1.ExchangeRequest, resp *apiv1.ExchangeResponse, now time.Time) {
+	uses := make([]share.Use, 0, len(req.GetUses()))
+	for _, u := range req.GetUses() {
+		uses = append(uses, share.Use{Team: u.GetTeam(), Asked: u.GetAsked(), Debt: u.GetDebt(), Fraction: u.GetFraction()})
+	}
+	for _, p := range l.divider.Report(req.GetHost(), uses, now) {
+		resp.Parts = append(resp.Parts, &apiv1.TeamPart{
+			Team: p.Team, TokensPerSecond: p.PerSecond, BurstTokens: p.Burst, Fraction: p.Fraction,
+			ValidMs: uint32(p.Valid.Milliseconds()),
+		})
+	}
+}
--- a/internal/coordinator/job.go
+++ b/internal/coordinator/job.go
@@ -10,7 +10,7 @@
 const (
 	// orderTimeout bounds one order. An order without an answer by then is
 	// treated as one that may be carried out late.
-	orderTimeout = 500 * time.Millisecond
+	orderTimeout = 150 * time.Millisecond
 	// jobTimeout bounds all orders of one load.
 	jobTimeout = 3 * time.Second
 	// laterPause is how long a job waits for an engine that cannot take an order,
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -10,9 +10,9 @@
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
 	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
-	"github.com/jasminesaddle/jasminesaddle/internal/rate"
 	"github.com/jasminesaddle/jasminesaddle/internal/replica"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
+	"github.com/jasminesaddle/jasminesaddle/internal/share"
 )
 
 const (
@@ -37,11 +37,11 @@
 	cancel context.CancelFunc
 	// ordersFrom is when the first order may be sent.
 	ordersFrom time.Time
-	lender     *rate.Lender
 	marks      *quarantine.Table
 
 	mu       sync.Mutex
 	table    *residency.Table
+	divider  *share.Divider
 	catalog  *catalog.Catalog
 	document *apiv1.PutDocument
 	versions uint64
@@ -62,12 +62,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	l := &leader{
 		c: c, term: lease.Term, log: c.log.With().Uint64("term", lease.Term).Logger(), ctx: ctx, cancel: cancel,
-		ordersFrom: now.Add(c.opts.OrderPause), lender: rate.NewLender(lease.Term, now),
-		marks: quarantine.NewTable(quarantine.Options{}), table: residency.New(residency.Options{}),
+		ordersFrom: now.Add(c.opts.OrderPause), marks: quarantine.NewTable(quarantine.Options{}), table: residency.New(residency.Options{}), divider: share.NewDivider(now),
 		hosts: map[string]*hostUse{}, jobs: map[jobKey]*job{}, answered: make(chan struct{}),
 		reporting: map[string]bool{},
 	}
-	l.lender.SetEarlier(lease.EarlierSince)
 	l.followState(now)
 	return l
 }
@@ -76,7 +74,6 @@
 
 // tick runs the systems. Each costs what changed or what is due.
 func (l *leader) tick(now time.Time) {
-	l.lender.Tick(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.followStateLocked(now)
@@ -121,19 +118,18 @@
 	}
 	l.catalog = cat
 	l.table.SetCatalog(cat)
-	l.lender.SetTeams(l.c.lentTeams(cat), now)
+	l.divider.SetRates(l.c.lentRates(cat))
 	l.log.Info().Str("event", "catalog_in_force").Uint64("revision", cat.Revision).
 		Int("routes", len(cat.Routes)).Int("teams", len(cat.Teams)).Msg("catalog taken over")
 }
 
-// lentTeams returns the rates that are lent to the hosts.
-func (c *Coordinator) lentTeams(cat *catalog.Catalog) []*apiv1.Team {
-	var out []*apiv1.Team
+// lentRates returns the rates that are divided between the hosts.
+func (c *Coordinator) lentRates(cat *catalog.Catalog) map[string]share.Rate {
+	out := map[string]share.Rate{}
 	for _, t := range cat.Teams {
-		if !t.Limited() {
-			continue
+		if t.Limited() {
+			out[t.Name] = c.opts.Tolerance.lent(t)
 		}
-		out = append(out, &apiv1.Team{Name: t.Name, Rate: c.opts.Tolerance.lent(t)})
 	}
 	return out
 }
--- a/internal/coordinator/tolerance.go
+++ b/internal/coordinator/tolerance.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
+	"github.com/jasminesaddle/jasminesaddle/internal/share"
 )
 
 // Tolerance is the excess over a team's rate that the platform's contract
@@ -18,16 +18,16 @@
 
 const (
 	// ratePart and burstPart are the parts of the slack that are lent as a higher
-	// rate and as a larger burst. What remains covers the tokens that hosts hold
-	// when the leader changes.
-	ratePart  = 0.5
-	burstPart = 0.25
+	// rate and as a larger burst. What remains covers the requests by which hosts
+	// overdraw their parts.
+	ratePart  = 0.45
+	burstPart = 0.15
 )
 
 // lent returns the rate that is lent for a team. It uses a part of the tolerated
 // excess: requests that the contract allows are not refused because the rate is
 // divided over hosts.
-func (t Tolerance) lent(team catalog.Team) *apiv1.Rate {
+func (t Tolerance) lent(team catalog.Team) share.Rate {
 	slack := t.Slack
 	if !team.ByTokens {
 		slack /= float64(max(team.PlainTokens, 1))
@@ -36,5 +36,5 @@
 	if t.Window > 0 {
 		rate += slack * ratePart / t.Window.Seconds()
 	}
-	return &apiv1.Rate{TokensPerSecond: uint64(rate), BurstTokens: team.Burst + uint64(slack*burstPart)}
+	return share.Rate{PerSecond: rate, Burst: float64(team.Burst) + slack*burstPart}
 }
--- a/internal/exchange/acquire.go
+++ b/internal/exchange/acquire.go
@@ -13,6 +13,9 @@
 // acquireTimeout bounds one call; the leader answers once its order is answered.
 const acquireTimeout = 700 * time.Millisecond
 
+// leaderRetry is when another leader is likely to stand.
+const leaderRetry = 800 * time.Millisecond
+
 type acquireKey struct {
 	service string
 	ref     residency.Ref
@@ -52,7 +55,8 @@
 	case <-a.done:
 	}
 	if a.err != nil {
-		return Acquired{}, a.err
+		return Acquired{}, fault.Wrap(a.err, fault.KindNoBackend, "the leader cannot be asked for "+r.Ref.String(),
+			"send the request again").WithRun(fault.NotRun).After(leaderRetry)
 	}
 	if a.resp.GetInstance() == "" {
 		return Acquired{}, fault.Newf(fault.KindNoBackend, "send the request again",
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -15,8 +15,8 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/meter"
-	"github.com/jasminesaddle/jasminesaddle/internal/rate"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
+	"github.com/jasminesaddle/jasminesaddle/internal/share"
 )
 
 const (
@@ -62,7 +62,7 @@
 	Seeds   []string
 	Connect func(address string) Coordination
 	Decode  func(*apiv1.PutDocument) (*catalog.Catalog, error)
-	Account *rate.Account
+	Rates   *share.Holder
 	Usage   Usage
 	Lister  Lister
 	// Interval is the time between two exchanges when nothing is urgent.
@@ -273,14 +273,13 @@
 	resp, err := c.peer(address).Exchange(ctx, req)
 	ok := err == nil && resp.GetLeadership().GetLeading()
 	c.opts.Usage.Reported(ok)
+	c.opts.Rates.Reported(ok)
 	if err != nil {
 		return nil, err
 	}
 	if ok {
 		c.taken.Observe(c.opts.Now().Sub(sent))
-		if resp.GetBorrow() != nil {
-			c.opts.Account.Apply(req.GetBorrow(), resp.GetBorrow(), sent)
-		}
+		c.opts.Rates.Apply(decodeParts(resp.GetParts()), sent, c.opts.Now())
 		c.apply(resp, sent)
 	}
 	return resp.GetLeadership(), nil
@@ -293,7 +292,10 @@
 	c.update.Unlock()
 	req := &apiv1.ExchangeRequest{
 		Host: c.opts.Host, Incarnation: c.opts.Incarnation, Term: e.term,
-		VersionsEpoch: e.versions, FleetEpoch: e.fleet, Borrow: c.opts.Account.Request(now),
+		VersionsEpoch: e.versions, FleetEpoch: e.fleet,
+	}
+	for _, u := range c.opts.Rates.Report(now) {
+		req.Uses = append(req.Uses, &apiv1.TeamUse{Team: u.Team, Asked: u.Asked, Debt: u.Debt, Fraction: u.Fraction})
 	}
 	if v.Catalog != nil {
 		req.HasDocument, req.DocumentRevision = true, v.Catalog.Revision
@@ -416,3 +418,14 @@
 func errNoLeader() error {
 	return fault.New(fault.KindUnavailable, "no control host leads", "retry later").WithRun(fault.NotRun).After(time.Second)
 }
+
+func decodeParts(list []*apiv1.TeamPart) []share.Part {
+	out := make([]share.Part, 0, len(list))
+	for _, p := range list {
+		out = append(out, share.Part{
+			Team: p.GetTeam(), PerSecond: p.GetTokensPerSecond(), Burst: p.GetBurstTokens(), Fraction: p.GetFraction(),
+			Valid: time.Duration(p.GetValidMs()) * time.Millisecond,
+		})
+	}
+	return out
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,24 +12,22 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/balance"
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
 	"github.com/jasminesaddle/jasminesaddle/internal/meter"
-	"github.com/jasminesaddle/jasminesaddle/internal/rate"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
 	"github.com/jasminesaddle/jasminesaddle/internal/retry"
+	"github.com/jasminesaddle/jasminesaddle/internal/share"
 )
 
 // Fleet is the host's view of the fleet.
 type Fleet interface {
 	View() *exchange.View
 	Acquire(ctx context.Context, r residency.Request) (exchange.Acquired, error)
-	Hurry()
-	Changed() <-chan struct{}
 }
 
 // Options configures a Gateway.
 type Options struct {
 	FailureDomain string
 	Fleet         Fleet
-	Account       *rate.Account
+	Rates         *share.Holder
 	Backend       Backend
 	// Forget drops the connections to a server that went silent.
 	Forget  func(address string)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -10,7 +10,6 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
-	"github.com/jasminesaddle/jasminesaddle/internal/rate"
 )
 
 const (
@@ -20,7 +19,7 @@
 	// answerMargin is how long before its deadline a request is given up, so that
 	// the answer still reaches the caller.
 	answerMargin = 15 * time.Millisecond
-	// tokenPatience bounds the wait for tokens that the leader can lend at once.
+	// tokenPatience bounds the wait for tokens of the host's part.
 	tokenPatience = 150 * time.Millisecond
 )
 
@@ -35,7 +34,8 @@
 	revision uint64
 	viewAge  time.Duration
 	deadline time.Time
-	reserved rate.Reservation
+	// reserved are the tokens taken from the host's part of the team's rate.
+	reserved uint64
 	print    []byte
 
 	// ran counts the attempts that may have run, sends all attempts.
@@ -175,8 +175,8 @@
 	return h.Sum(nil)
 }
 
-// reserve takes the request's tokens from the team's share of this host. It
-// waits briefly for tokens that the leader can lend.
+// reserve takes the request's tokens from the host's part of the team's rate. It
+// waits for tokens that are there within tokenPatience.
 func (f *flight) reserve(ctx context.Context) error {
 	if !f.team.Limited() {
 		return nil
@@ -184,42 +184,25 @@
 	cost := f.team.Cost(f.r.Tokens())
 	began := f.g.opts.Now()
 	for {
-		changed := f.g.opts.Fleet.Changed()
 		now := f.g.opts.Now()
-		res, ok := f.g.opts.Account.Reserve(f.team.Name, cost, now)
+		ok, retry := f.g.opts.Rates.Take(f.team.Name, cost, now)
 		if ok {
-			f.reserved = res
+			f.reserved = cost
 			f.g.metrics.tokens.Observe(now.Sub(began))
 			return nil
 		}
-		left := tokenPatience - now.Sub(began)
-		if left <= 0 || ctx.Err() != nil {
-			return fault.Newf(fault.KindRateLimited, "send the request later", "team %s is beyond its rate of %d/s with a burst of %d", f.team.Name, f.team.Rate, f.team.Burst).
-				WithRun(fault.NotRun).After(f.g.opts.Account.RetryAfter(f.team.Name, cost, now))
+		if now.Add(retry).After(began.Add(tokenPatience)) || !pause(ctx, retry) {
+			return fault.Newf(fault.KindRateLimited, "send the request later", "team %s is beyond its rate of %d/s with a burst of %d",
+				f.team.Name, f.team.Rate, f.team.Burst).WithRun(fault.NotRun).After(retry)
 		}
-		f.g.opts.Account.Want(f.team.Name, cost)
-		f.g.opts.Fleet.Hurry()
-		waitFor(ctx, changed, left)
-	}
-}
-
-func waitFor(ctx context.Context, signal <-chan struct{}, most time.Duration) {
-	t := time.NewTimer(most)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-signal:
-	case <-t.C:
 	}
 }
 
 // settle returns the tokens of a request that did not run.
 func (f *flight) settle() {
-	used := f.reserved.Tokens()
-	if f.ran == 0 {
-		used = 0
+	if f.reserved > 0 && f.ran == 0 {
+		f.g.opts.Rates.Return(f.team.Name, f.reserved)
 	}
-	f.g.opts.Account.Settle(f.reserved, used, f.g.opts.Now())
 }
 
 // finish writes the request's line in the log and counts it.
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -43,6 +43,11 @@
 	// whole catalog.
 	snapshotEntries = 256
 	trailingEntries = 64
+	// electionTicks and heartbeatTicks are the replica's election time-out and
+	// heartbeat interval, in ticks of 50 ms. Requests that need a load wait for an
+	// election, and a lost packet on the network takes about 250 ms to be repeated.
+	electionTicks  = 12
+	heartbeatTicks = 2
 )
 
 // Joiner offers this host to the process at an address.
@@ -143,7 +148,7 @@
 		Cluster: g.opts.Cluster, Self: g.opts.Self, Bootstrap: seeds,
 		JoinOnly: !g.opts.FirstStart || !slices.Contains(g.Seeds(), g.opts.Self.GetAddress()),
 		Store:    store, Machine: machine, Transport: g.opts.Transport, Logger: g.log,
-		SnapshotEntries: snapshotEntries, TrailingEntries: trailingEntries, Now: g.opts.Now,
+		ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, SnapshotEntries: snapshotEntries, TrailingEntries: trailingEntries, Now: g.opts.Now,
 	}
 }
 
--- a/internal/residency/acquire.go
+++ b/internal/residency/acquire.go
@@ -157,7 +157,7 @@
 
 // transit counts the adapters on their way to the engine.
 func (t *Table) transit(e *Engine, now time.Time) int {
-	n := len(e.doubts)
+	n := 0
 	for ref, h := range e.held {
 		if ref.Adapter != "" && h.readyAt.After(now) {
 			n++
@@ -172,7 +172,7 @@
 	if s == nil || s.Engine == nil {
 		return 0
 	}
-	n := s.Engine.AdapterPlaces - len(e.doubts)
+	n := s.Engine.AdapterPlaces
 	memory := s.Engine.MemoryMB
 	largest := 0.0
 	for ref := range e.held {
@@ -188,14 +188,14 @@
 		}
 	}
 	if largest > 0 {
-		n = min(n, int(memory/largest)-len(e.doubts))
+		n = min(n, int(memory/largest))
 	}
 	return n
 }
 
 // keepTime is how long an adapter stays after its last use or its load, so that
 // the requests for which it was loaded reach it before hosts report them.
-const keepTime = 900 * time.Millisecond
+const keepTime = 400 * time.Millisecond
 
 // victim returns the adapter that was not used for the longest time, or nothing
 // when all are in use.
--- a/internal/residency/order.go
+++ b/internal/residency/order.go
@@ -101,10 +101,8 @@
 	case Accepted, Done:
 		t.carriedOut(e, o, out, now)
 	case Unknown:
-		if !o.Unload {
-			e.doubts = append(e.doubts, doubt{o.Ref, o.Expect})
-		}
-		e.sequenceKnown = false
+		// The order may be carried out late, while the sequence is the same. The
+		// next order is accepted before that, or it conflicts.
 	case Conflict:
 		e.sequenceKnown = false
 	case Rejected:
@@ -118,8 +116,6 @@
 	// A load of what is there already changes nothing at the engine.
 	if out == Accepted || o.Unload {
 		e.sequence = o.Expect + 1
-		// An earlier order with this sequence, or a lower one, is void now.
-		e.doubts = slices.DeleteFunc(e.doubts, func(d doubt) bool { return d.expect <= o.Expect })
 	}
 	if o.Unload {
 		if out == Done {
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -178,11 +178,6 @@
 			return true
 		}
 	}
-	for _, d := range e.doubts {
-		if d.ref.Adapter == "" {
-			return true
-		}
-	}
 	return false
 }
 
--- a/internal/residency/table.go
+++ b/internal/residency/table.go
@@ -3,8 +3,9 @@
 // to order next, and tells it what became of each order.
 //
 // Invariants:
-//   - An engine never gets a load for which it may lack a place. An order
-//     without an answer takes its place until it is known to be void.
+//   - An engine never gets a load for which it may lack a place. Each order names
+//     the engine's sequence, so that an order without an answer is void as soon
+//     as a later one is accepted.
 //   - One order at a time is on its way to an engine.
 //   - An adapter that a host has in flight is not unloaded.
 package residency
@@ -97,13 +98,6 @@
 	cold bool
 }
 
-// doubt is a load without an answer. It may still be carried out while the
-// engine's sequence is the expected one.
-type doubt struct {
-	ref    Ref
-	expect uint64
-}
-
 // Engine is one run of an engine.
 type Engine struct {
 	Instance, Service, Address, Domain string
@@ -116,7 +110,6 @@
 	lastOrder     time.Time
 	ordering      bool
 	held          map[Ref]*held
-	doubts        []doubt
 	recent        []Ref // unloaded adapters, the oldest first
 	// dropped dates what was given up lately, which a lagging list still shows.
 	dropped  map[Ref]time.Time
@@ -273,12 +266,11 @@
 	}
 	if e.born != 0 && r.Born != 0 && e.born != r.Born {
 		// The list has not shown the restart yet.
-		e.born, e.doubts, e.recent = r.Born, nil, nil
+		e.born, e.recent = r.Born, nil
 		e.held, e.dropped = map[Ref]*held{}, map[Ref]time.Time{}
 		t.touch(e)
 	}
 	e.sequence, e.sequenceKnown = r.Sequence, true
-	e.doubts = slices.DeleteFunc(e.doubts, func(d doubt) bool { return d.expect < r.Sequence })
 	t.reconcile(e, r.Held, now)
 	for _, c := range r.Coming {
 		if e.held[c.Ref] == nil {
--- /dev/null
+++ b/internal/share/divider.go
@@ -0,0 +1,204 @@
+// Package share divides the rate of each team between the entry hosts. The
+// Divider on the leader gives each host a part of the rate, which the host's
+// Holder spends on its own until the part ends. Hosts go on without the leader
+// for that long, and no request waits for it.
+//
+// Package rate lends single tokens instead. It is exact, but stops within
+// seconds without a lender, and leaves tokens idle at hosts when requests are
+// large against the burst. The parts here may be overdrawn by one request at each
+// host, which the contract's tolerated excess has to cover.
+package share
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Rate is a team's rate, in tokens per second, and its burst in tokens.
+type Rate struct{ PerSecond, Burst float64 }
+
+// Use is what a host tells of one team.
+type Use struct {
+	Team string
+	// Asked are the tokens that callers have asked for since the last report.
+	Asked float64
+	// Debt is how far the host has overdrawn its part.
+	Debt float64
+	// Fraction is the part of the rate that the host holds, of 1.
+	Fraction float64
+}
+
+// Part is a host's part of a team's rate.
+type Part struct {
+	Team             string
+	PerSecond, Burst float64
+	Fraction         float64
+	Valid            time.Duration
+}
+
+const (
+	// valid is how long a host uses its part without a further answer. The
+	// election of a leader and a restart of all control hosts are over by then.
+	valid = 8 * time.Second
+	// heldValid is for how long the leader counts the part of a silent host as
+	// used. The difference covers clocks that run at different rates.
+	heldValid = valid + valid/10
+	// settle is how long a new leader listens before it divides anew. Hosts
+	// report every 250 ms.
+	settle = 400 * time.Millisecond
+	// askedHalfLife is how fast the parts follow what is asked.
+	askedHalfLife = 1500 * time.Millisecond
+	// debtTime is the time within which a host shall work off its debt.
+	debtTime = time.Second
+	// evenLeast and evenMost bound the part of a rate that is divided evenly, so
+	// that a host can serve a team that has not asked it yet. A team that uses its
+	// whole rate leaves little idle.
+	evenLeast = 0.05
+	evenMost  = 0.3
+)
+
+// Divider divides the rates of all teams for one term. It is not safe for
+// concurrent use.
+type Divider struct {
+	start time.Time
+	rates map[string]Rate
+	hosts map[string]*host
+	// earlier is true when some host holds parts of an earlier leader. Parts that
+	// nobody has reported may then be in use until heldValid after the start.
+	earlier bool
+}
+
+// host is one entry host.
+type host struct {
+	heard time.Time
+	teams map[string]*use
+}
+
+type use struct {
+	asked    float64 // tokens per second, decayed
+	at       time.Time
+	debt     float64
+	fraction float64
+}
+
+// NewDivider returns a divider for a term that starts now.
+func NewDivider(now time.Time) *Divider {
+	return &Divider{start: now, rates: map[string]Rate{}, hosts: map[string]*host{}}
+}
+
+// SetRates replaces the rates of all teams.
+func (d *Divider) SetRates(rates map[string]Rate) { d.rates = rates }
+
+// Report books what a host tells and returns its parts, sorted by team. It
+// returns nothing while the leader is new; the host keeps what it holds.
+func (d *Divider) Report(name string, uses []Use, now time.Time) []Part {
+	h := d.hosts[name]
+	if h == nil {
+		h = &host{teams: map[string]*use{}}
+		d.hosts[name] = h
+	}
+	h.heard = now
+	for _, u := range uses {
+		h.book(u, now)
+		d.earlier = d.earlier || u.Fraction > 0 && now.Sub(d.start) < settle
+	}
+	d.expire(now)
+	if now.Sub(d.start) < settle && d.earlier {
+		return nil
+	}
+	parts := make([]Part, 0, len(d.rates))
+	for team, rate := range d.rates {
+		f := d.fraction(name, team, rate, now)
+		h.of(team, now).fraction = f
+		parts = append(parts, Part{Team: team, PerSecond: f * rate.PerSecond, Burst: f * rate.Burst, Fraction: f, Valid: valid})
+	}
+	slices.SortFunc(parts, func(a, b Part) int { return strings.Compare(a.Team, b.Team) })
+	return parts
+}
+
+func (h *host) of(team string, now time.Time) *use {
+	u := h.teams[team]
+	if u == nil {
+		u = &use{at: now}
+		h.teams[team] = u
+	}
+	return u
+}
+
+func (h *host) book(r Use, now time.Time) {
+	u := h.of(r.Team, now)
+	u.decay(now)
+	u.asked += r.Asked * decayPerSecond
+	u.debt, u.fraction = r.Debt, r.Fraction
+}
+
+// expire drops hosts whose parts have ended.
+func (d *Divider) expire(now time.Time) {
+	for name, h := range d.hosts {
+		if now.Sub(h.heard) > heldValid {
+			delete(d.hosts, name)
+		}
+	}
+}
+
+// hostLive is how long a host that has not reported takes part in the division.
+const hostLive = time.Second
+
+// fraction returns a host's part of a team's rate: what is free, divided by what
+// the hosts need. The parts of silent hosts are not free.
+func (d *Divider) fraction(name, team string, rate Rate, now time.Time) float64 {
+	live, need, kept := 0, 0.0, 0.0
+	for other, h := range d.hosts {
+		u := h.of(team, now)
+		if now.Sub(h.heard) > hostLive && other != name {
+			kept += u.fraction
+			continue
+		}
+		live++
+		need += u.need(now)
+	}
+	if d.earlier && now.Sub(d.start) < heldValid {
+		kept = max(kept, d.unreported(team, now))
+	}
+	free := min(max(1-kept, 0), 1)
+	if need <= 0 {
+		return free / float64(live)
+	}
+	even := evenMost
+	if rate.PerSecond > 0 {
+		even = min(max((1-need/rate.PerSecond)/2, evenLeast), evenMost)
+	}
+	own := d.hosts[name].of(team, now).need(now)
+	return free * (even/float64(live) + (1-even)*own/need)
+}
+
+// unreported is the part that hosts of an earlier leader may use that have not
+// reported to this one.
+func (d *Divider) unreported(team string, now time.Time) float64 {
+	known := 0.0
+	for _, h := range d.hosts {
+		if u := h.teams[team]; u != nil {
+			known += u.fraction
+		}
+	}
+	// After the first division the known parts add up to what is free.
+	return max(0, 1-known)
+}
+
+func (u *use) need(now time.Time) float64 {
+	u.decay(now)
+	return u.asked + u.debt/debtTime.Seconds()
+}
+
+// Hosts returns the number of hosts that have reported lately.
+func (d *Divider) Hosts(now time.Time) int {
+	n := 0
+	for _, h := range d.hosts {
+		if now.Sub(h.heard) <= hostLive {
+			n++
+		}
+	}
+	return cmp.Or(n, 1)
+}
--- /dev/null
+++ b/internal/share/holder.go
@@ -0,0 +1,146 @@
+package share
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// decayPerSecond turns tokens into a decayed rate with the half-life of what is
+// asked.
+var decayPerSecond = math.Ln2 / askedHalfLife.Seconds()
+
+func (u *use) decay(now time.Time) {
+	if age := now.Sub(u.at); age > 0 {
+		u.asked *= math.Exp2(-float64(age) / float64(askedHalfLife))
+		u.at = now
+	}
+}
+
+// Holder spends a host's parts. It is safe for concurrent use.
+type Holder struct {
+	mu    sync.Mutex
+	teams map[string]*balance
+}
+
+// balance is one team's tokens on this host. Its level grows by the part's rate
+// up to its burst, and may be overdrawn by one request.
+type balance struct {
+	part    Part
+	ends    time.Time
+	level   float64
+	at      time.Time
+	asked   float64
+	sending float64
+}
+
+// NewHolder returns a holder without parts.
+func NewHolder() *Holder { return &Holder{teams: map[string]*balance{}} }
+
+func (h *Holder) team(name string) *balance {
+	b := h.teams[name]
+	if b == nil {
+		b = &balance{}
+		h.teams[name] = b
+	}
+	return b
+}
+
+func (b *balance) refill(now time.Time) {
+	if until := minTime(now, b.ends); until.After(b.at) {
+		b.level = min(b.level+b.part.PerSecond*until.Sub(b.at).Seconds(), b.part.Burst)
+	}
+	b.at = now
+}
+
+// Take takes tokens for a request, or tells when they may be there.
+func (h *Holder) Take(team string, tokens uint64, now time.Time) (ok bool, retry time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := h.team(team)
+	b.refill(now)
+	b.asked += float64(tokens)
+	if b.level > 0 && now.Before(b.ends) {
+		b.level -= float64(tokens)
+		return true, 0
+	}
+	return false, b.retry(now)
+}
+
+const (
+	// leastRetry and mostRetry bound the time after which a caller is told to
+	// come back. Other hosts may have tokens, and parts follow what is asked.
+	leastRetry = 20 * time.Millisecond
+	mostRetry  = 2 * time.Second
+)
+
+func (b *balance) retry(now time.Time) time.Duration {
+	if !now.Before(b.ends) || b.part.PerSecond <= 0 {
+		return mostRetry
+	}
+	return min(max(time.Duration(-b.level/b.part.PerSecond*float64(time.Second)), leastRetry), mostRetry)
+}
+
+// Return gives back the tokens of a request that did not run.
+func (h *Holder) Return(team string, tokens uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := h.team(team)
+	b.level = min(b.level+float64(tokens), b.part.Burst)
+}
+
+// Report returns what the leader is told, sorted by team. Reported follows it.
+func (h *Holder) Report(now time.Time) []Use {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []Use
+	for name, b := range h.teams {
+		b.refill(now)
+		u := Use{Team: name, Asked: b.asked, Debt: max(0, -b.level)}
+		if now.Before(b.ends) {
+			u.Fraction = b.part.Fraction
+		}
+		b.sending, b.asked = b.asked, 0
+		out = append(out, u)
+	}
+	slices.SortFunc(out, func(a, b Use) int { return strings.Compare(a.Team, b.Team) })
+	return out
+}
+
+// Reported tells whether the leader has received the last report.
+func (h *Holder) Reported(ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, b := range h.teams {
+		if !ok {
+			b.asked += b.sending
+		}
+		b.sending = 0
+	}
+}
+
+// Apply takes over the parts of an answer whose request was sent at the time,
+// at the earliest. Teams that it does not name keep theirs until they end.
+func (h *Holder) Apply(parts []Part, sent, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range parts {
+		b := h.team(p.Team)
+		b.refill(now)
+		if b.ends.IsZero() {
+			// The first part comes with its burst.
+			b.level = p.Burst
+		}
+		b.part, b.ends = p, sent.Add(p.Valid)
+		b.level = min(b.level, p.Burst)
+	}
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/share/share_test.go
@@ -0,0 +1,186 @@
+package share
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// day plays entry hosts that report to a leader every 250 ms.
+type day struct {
+	seed  uint64
+	hosts int
+	// demand is what each host is asked for, in tokens per second.
+	demand func(host int, at time.Duration) float64
+	// size draws the tokens of a request.
+	size func(r *rand.Rand) uint64
+	// leaderless is a time without a leader; a new one follows.
+	from, to time.Duration
+	// cut hosts have no contact from the beginning of that time on.
+	cut int
+	// restarted hosts lose what they hold at its end.
+	restarted bool
+	// blind hosts tell nothing of what is asked, so that the rate is divided evenly.
+	blind bool
+}
+
+const perSecond, burst = 30_000, 30_000
+
+// play returns the tokens asked for and let through in each second.
+func (d day) play(t *testing.T) (asked, passed []float64) {
+	t.Helper()
+	t.Log("seed ", d.seed)
+	rng := rand.New(rand.NewPCG(d.seed, 1))
+	start := time.Unix(1000, 0)
+	rates := map[string]Rate{"red": {perSecond, burst}}
+	leader := NewDivider(start)
+	leader.SetRates(rates)
+	holders := make([]*Holder, d.hosts)
+	for i := range holders {
+		holders[i] = NewHolder()
+	}
+	asked, passed = make([]float64, 24), make([]float64, 24)
+	changed := d.to == 0
+	for ms := range 24_000 {
+		at := time.Duration(ms) * time.Millisecond
+		now := start.Add(at)
+		if at >= d.to && !changed {
+			changed = true
+			leader = NewDivider(now)
+			leader.SetRates(rates)
+			for i := range holders {
+				if d.restarted {
+					holders[i] = NewHolder()
+				}
+			}
+		}
+		for i, h := range holders {
+			away := at >= d.from && at < d.to || i < d.cut && at >= d.from
+			if ms%250 == i*7%250 && !away {
+				uses := h.Report(now)
+				if d.blind {
+					uses = nil
+				}
+				h.Reported(true)
+				h.Apply(leader.Report(fmt.Sprint(i), uses, now), now, now)
+			}
+			size := d.size(rng)
+			mean := 1100.0
+			if rng.Float64() > d.demand(i, at)/mean/1000 {
+				continue
+			}
+			asked[ms/1000] += float64(size)
+			if ok, _ := h.Take("red", size, now); ok {
+				passed[ms/1000] += float64(size)
+			}
+		}
+	}
+	return asked, passed
+}
+
+func sum(list []float64) float64 {
+	total := 0.0
+	for _, v := range list {
+		total += v
+	}
+	return total
+}
+
+// mixed draws mostly small requests and one in twenty of many times the size.
+func mixed(r *rand.Rand) uint64 {
+	if r.IntN(20) == 0 {
+		return uint64(4_000 + r.IntN(8_000))
+	}
+	return uint64(200 + r.IntN(1_000))
+}
+
+func even(total float64, hosts int) func(int, time.Duration) float64 {
+	return func(int, time.Duration) float64 { return total / float64(hosts) }
+}
+
+// Under several times the rate, the division over hosts must not leave a part of
+// the rate unused, and must not pass the contract's bound in any window of 8 s.
+func TestOverload(t *testing.T) {
+	for seed := range uint64(5) {
+		_, passed := day{seed: seed, hosts: 9, demand: even(120_000, 9), size: mixed}.play(t)
+		must.Greater(t, 0.9*perSecond*20, sum(passed[2:22]))
+		mustKeepBound(t, passed)
+	}
+}
+
+func mustKeepBound(t *testing.T, passed []float64) {
+	t.Helper()
+	for from := range len(passed) - 7 {
+		// A tenth more than rate and burst, and a slack of 110,000 tokens.
+		must.LessEq(t, 1.1*(8*perSecond+burst)+110_000, sum(passed[from:from+8]), must.Sprint("from ", from, passed))
+	}
+}
+
+// A team within its rate, most of whose requests reach a few hosts, must not be
+// refused as an even division of its rate would refuse it.
+func TestSkewedWithinRate(t *testing.T) {
+	for seed := range uint64(5) {
+		d := day{seed: seed, hosts: 9, size: mixed, demand: func(host int, _ time.Duration) float64 {
+			if host < 2 {
+				return 0.35 * 0.75 * perSecond
+			}
+			return 0.3 / 7 * 0.75 * perSecond
+		}}
+		asked, passed := d.play(t)
+		refused := 1 - sum(passed)/sum(asked)
+		d.blind = true
+		asked, passed = d.play(t)
+		must.Less(t, (1-sum(passed)/sum(asked))/3, refused)
+	}
+}
+
+// While no host leads, the hosts go on, and a new leader must neither stop them
+// nor give the whole rate to the hosts that it hears first.
+func TestLeaderless(t *testing.T) {
+	for seed := range uint64(5) {
+		for _, cut := range []int{0, 2} {
+			_, passed := day{
+				seed: seed, hosts: 9, size: mixed, demand: even(90_000, 9), from: 6 * time.Second, to: 9 * time.Second, cut: cut,
+			}.play(t)
+			must.Greater(t, 0.5*perSecond*3, sum(passed[6:9]), must.Sprint(passed))
+			must.Greater(t, 0.5*perSecond*3, sum(passed[9:12]), must.Sprint(passed))
+			mustKeepBound(t, passed)
+		}
+	}
+}
+
+// After a restart of everything nobody holds a part, and the new leader must not
+// wait for parts that do not exist.
+func TestRestart(t *testing.T) {
+	_, passed := day{
+		seed: 1, hosts: 9, size: mixed, demand: even(90_000, 9), from: 6 * time.Second, to: 8 * time.Second, restarted: true,
+	}.play(t)
+	must.Greater(t, 0.5*perSecond*2, sum(passed[8:10]), must.Sprint(passed))
+	mustKeepBound(t, passed)
+}
+
+// Large requests must not starve behind small ones that take each token as it
+// comes.
+func TestLargeRequestsInOverload(t *testing.T) {
+	h := NewHolder()
+	now := time.Unix(1000, 0)
+	h.Apply([]Part{{Team: "red", PerSecond: 3_000, Burst: 3_000, Fraction: 0.1, Valid: time.Hour}}, now, now)
+	large, small := 0, 0
+	for i := range 100_000 {
+		now = now.Add(time.Millisecond)
+		if i%2 == 0 {
+			if ok, _ := h.Take("red", 9_000, now); ok {
+				large++
+			}
+			continue
+		}
+		if ok, _ := h.Take("red", 500, now); ok {
+			small++
+		}
+	}
+	must.Greater(t, 10, large)
+	must.Positive(t, small)
+}
