Try a busy engine again without its report; load newer versions beside old ones

A version bump blocked the only engine with the adapter for the time of a load. Change: four conflicts in a row come before a report; a newer version is loaded at another engine; no more cold loads than the store serves at full speed.

--- a/internal/residency/acquire.go
+++ b/internal/residency/acquire.go
@@ -50,13 +50,16 @@
 	if best, in := t.bestHolder(engines, r.Ref, now); best != nil {
 		h := best.held[r.Ref]
 		h.lastUse = now
+		best.pending += r.PromptTokens
 		return Choice{Instance: best.Instance, Version: h.version, ReadyIn: in}
 	}
 	best := t.bestPlace(engines, r.Ref, now)
 	if best == nil {
 		return Choice{Reason: "no_place"}
 	}
-	return Choice{Instance: best.Instance, Version: t.newest[r.Ref], Load: true, ReadyIn: t.loadTime(best, r.Ref, now)}
+	// Until the hosts report it, the request counts as the engine's backlog.
+	best.pending += r.PromptTokens
+	return Choice{Instance: best.Instance, Version: t.newest[r.Ref], Load: true, ReadyIn: t.loadTime(best, r.Ref)}
 }
 
 // noteMissing corrects the table by what engines answered to requests.
@@ -135,7 +138,7 @@
 		if !t.mayLoad(e, ref, now) {
 			continue
 		}
-		cost := t.loadTime(e, ref, now) + t.backlog(e) + min(time.Duration(i)*homeStep, homeMost)
+		cost := t.loadTime(e, ref) + t.backlog(e) + min(time.Duration(i)*homeStep, homeMost)
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -152,6 +155,9 @@
 	if t.transit(e, now) >= t.opts.Transit {
 		return false
 	}
+	if !slices.Contains(e.recent, ref) && t.coldLoads(now) >= t.opts.Parallel {
+		return false
+	}
 	return t.free(e) > 0 || t.victim(e, now) != (Ref{})
 }
 
@@ -166,6 +172,19 @@
 	return n
 }
 
+// coldLoads counts the adapters on their way from the weight store.
+func (t *Table) coldLoads(now time.Time) int {
+	n := 0
+	for _, e := range t.engines {
+		for _, h := range e.held {
+			if h.cold && h.readyAt.After(now) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // free returns the places that nothing can claim.
 func (t *Table) free(e *Engine) int {
 	s := t.services[e.Service]
@@ -214,22 +233,11 @@
 }
 
 // loadTime estimates how long a load of the adapter takes at the engine.
-func (t *Table) loadTime(e *Engine, ref Ref, now time.Time) time.Duration {
+func (t *Table) loadTime(e *Engine, ref Ref) time.Duration {
 	if slices.Contains(e.recent, ref) {
 		return t.opts.WarmLoad
 	}
-	cold := 1
-	for _, other := range t.engines {
-		for _, h := range other.held {
-			if h.cold && h.readyAt.After(now) {
-				cold++
-			}
-		}
-	}
-	if cold <= t.opts.Parallel {
-		return t.opts.ColdLoad
-	}
-	return t.opts.ColdLoad * time.Duration(cold) / time.Duration(t.opts.Parallel)
+	return t.opts.ColdLoad
 }
 
 func maxTime(a, b time.Time) time.Time {
--- a/internal/residency/order.go
+++ b/internal/residency/order.go
@@ -66,7 +66,7 @@
 	if h := e.held[ref]; h != nil && h.version >= want && !h.unloading {
 		return Order{}, Finished
 	}
-	if e.ordering || !e.sequenceKnown {
+	if e.ordering || !e.sequenceKnown || now.Before(e.notBefore) {
 		return Order{}, Later
 	}
 	if h := e.held[ref]; h != nil && h.unloading {
@@ -97,6 +97,9 @@
 		return
 	}
 	e.ordering, e.lastOrder = false, now
+	if out != Conflict {
+		e.conflicts = 0
+	}
 	switch out {
 	case Accepted, Done:
 		t.carriedOut(e, o, out, now)
@@ -104,7 +107,11 @@
 		// The order may be carried out late, while the sequence is the same. The
 		// next order is accepted before that, or it conflicts.
 	case Conflict:
-		e.sequenceKnown = false
+		// An engine is busy while an unload waits for its runs, while a model
+		// loads, and with too many adapters on their way.
+		e.conflicts++
+		e.notBefore = now.Add(busyPause)
+		e.sequenceKnown = e.conflicts%conflictsToReport != 0
 	case Rejected:
 		if o.Unload {
 			t.drop(e, o.Ref, now)
@@ -112,6 +119,14 @@
 	}
 }
 
+const (
+	// busyPause is how long a busy engine is left alone.
+	busyPause = 60 * time.Millisecond
+	// conflictsToReport is the number of conflicts in a row after which the
+	// engine's sequence is doubted and its report is read.
+	conflictsToReport = 4
+)
+
 func (t *Table) carriedOut(e *Engine, o Order, out Outcome, now time.Time) {
 	// A load of what is there already changes nothing at the engine.
 	if out == Accepted || o.Unload {
@@ -131,16 +146,16 @@
 	ready := now
 	warm := slices.Contains(e.recent, o.Ref)
 	if out == Accepted {
-		ready = now.Add(t.orderTime(e, o, now))
+		ready = now.Add(t.orderTime(e, o))
 	}
 	e.recent = slices.DeleteFunc(e.recent, func(r Ref) bool { return r == o.Ref })
 	e.held[o.Ref] = &held{version: o.Version, readyAt: ready, orderedAt: now, lastUse: now, cold: out == Accepted && !warm}
 	t.touch(e)
 }
 
-func (t *Table) orderTime(e *Engine, o Order, now time.Time) time.Duration {
+func (t *Table) orderTime(e *Engine, o Order) time.Duration {
 	if o.Ref.Adapter != "" {
-		return t.loadTime(e, o.Ref, now)
+		return t.loadTime(e, o.Ref)
 	}
 	if s := t.services[e.Service]; s != nil {
 		if m, ok := s.Model(o.Ref.Model); ok {
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -16,7 +16,7 @@
 
 // arrivalHalfLife is how fast the rate of an adapter follows its arrivals.
 // Demand moves to other adapters within seconds.
-const arrivalHalfLife = 4 * time.Second
+const arrivalHalfLife = 1500 * time.Millisecond
 
 func (a *arrivals) decay(now time.Time) float64 {
 	if age := now.Sub(a.at); age > 0 {
@@ -104,7 +104,7 @@
 	have := 0
 	var free []*Engine
 	for _, e := range engines {
-		if e.held[ref] != nil {
+		if h := e.held[ref]; h != nil && h.version >= t.newest[ref] {
 			have++
 		} else {
 			free = append(free, e)
@@ -120,40 +120,42 @@
 	return Wanted{best.Instance, ref, "replica"}, true
 }
 
-// Outdated returns the copies that are older than the newest version. A part of
-// the holders is replaced at a time, because a copy cannot be used meanwhile.
+// Outdated returns the loads that bring a newer version into use. A copy cannot be
+// used while it is replaced, so that the newer version goes to another engine
+// where there is a place, and old copies give way as they fall out of use. An old
+// copy is replaced when no other engine has a place.
 func (t *Table) Outdated(now time.Time) []Wanted {
-	holders, loading := map[Ref]int{}, map[Ref]int{}
-	var old []Wanted
+	old := map[Ref][]*Engine{}
 	for _, e := range t.Engines() {
 		for ref, h := range e.held {
-			if t.newest[ref] == 0 {
-				continue
-			}
-			holders[ref]++
-			switch {
-			case h.version < t.newest[ref] && !h.unloading && !e.Draining:
-				old = append(old, Wanted{e.Instance, ref, "newer_version"})
-			case h.readyAt.After(now):
-				loading[ref]++
+			if h.version < t.newest[ref] && !h.unloading && !e.Draining {
+				old[ref] = append(old[ref], e)
 			}
 		}
 	}
-	slices.SortFunc(old, func(a, b Wanted) int {
-		return cmp.Or(strings.Compare(a.Ref.String(), b.Ref.String()), strings.Compare(a.Instance, b.Instance))
-	})
-	return slices.DeleteFunc(old, func(w Wanted) bool {
-		if loading[w.Ref] >= max(1, holders[w.Ref]/replacedPart) {
-			return true
+	var out []Wanted
+	for ref, holders := range old {
+		engines := t.usable(Request{Service: holders[0].Service, Ref: ref}, now)
+		if t.holdsNewest(engines, ref) {
+			continue
 		}
-		loading[w.Ref]++
-		return false
-	})
+		free := slices.DeleteFunc(slices.Clone(engines), func(e *Engine) bool { return e.held[ref] != nil })
+		best := t.bestPlace(free, ref, now)
+		if best == nil {
+			best = holders[0]
+		}
+		out = append(out, Wanted{best.Instance, ref, "newer_version"})
+	}
+	slices.SortFunc(out, func(a, b Wanted) int { return strings.Compare(a.Ref.String(), b.Ref.String()) })
+	return out
 }
 
-// replacedPart is the part of an adapter's holders that is replaced at a time,
-// as a divisor.
-const replacedPart = 4
+func (t *Table) holdsNewest(engines []*Engine, ref Ref) bool {
+	return slices.ContainsFunc(engines, func(e *Engine) bool {
+		h := e.held[ref]
+		return h != nil && h.version >= t.newest[ref]
+	})
+}
 
 // Models returns the engines that hold no model and the model that each should
 // load, within the rate of the weight store.
--- a/internal/residency/table.go
+++ b/internal/residency/table.go
@@ -35,7 +35,8 @@
 	// published 250 ms and a round trip), WarmLoad that of a load from the
 	// engine's own copy (a tenth of it).
 	ColdLoad, WarmLoad time.Duration
-	// Parallel is the number of cold loads that the store serves at full speed.
+	// Parallel is the number of cold loads that the store serves at full speed (16,
+	// as published). More are not ordered at once, as each would take longer.
 	Parallel int
 	// Transit bounds the adapters on their way to one engine.
 	Transit int
@@ -109,8 +110,12 @@
 	sequenceKnown bool
 	lastOrder     time.Time
 	ordering      bool
-	held          map[Ref]*held
-	recent        []Ref // unloaded adapters, the oldest first
+	// notBefore is when a busy engine may take the next order, and conflicts the
+	// number of orders in a row that it did not take.
+	notBefore time.Time
+	conflicts int
+	held      map[Ref]*held
+	recent    []Ref // unloaded adapters, the oldest first
 	// dropped dates what was given up lately, which a lagging list still shows.
 	dropped  map[Ref]time.Time
 	inFlight int
