Give the orders of each engine through one control host, whoever leads

Change: the replicated log names a holder for each engine. The leader decides, the holder gives the order, and refuses one that was held up on the way or belongs to an earlier term.

--- a/internal/api/v1/apiv1connect/coordination.connect.go
+++ b/internal/api/v1/apiv1connect/coordination.connect.go
@@ -45,6 +45,9 @@
 	// CoordinationServiceJoinProcedure is the fully-qualified name of the CoordinationService's Join
 	// RPC.
 	CoordinationServiceJoinProcedure = "/jasmine.v1.CoordinationService/Join"
+	// CoordinationServiceExecuteProcedure is the fully-qualified name of the CoordinationService's
+	// Execute RPC.
+	CoordinationServiceExecuteProcedure = "/jasmine.v1.CoordinationService/Execute"
 )
 
 // CoordinationServiceClient is a client for the jasmine.v1.CoordinationService service.
@@ -56,6 +59,8 @@
 	Acquire(context.Context, *v1.AcquireRequest) (*v1.AcquireResponse, error)
 	// Join offers a control host as a member of the replicated log.
 	Join(context.Context, *v1.JoinRequest) (*v1.JoinResponse, error)
+	// Execute has a control host give an order to an engine that it holds.
+	Execute(context.Context, *v1.ExecuteRequest) (*v1.ExecuteResponse, error)
 }
 
 // NewCoordinationServiceClient constructs a client for the jasmine.v1.CoordinationService service.
@@ -87,6 +92,12 @@
 			connect.WithSchema(coordinationServiceMethods.ByName("Join")),
 			connect.WithClientOptions(opts...),
 		),
+		execute: connect.NewClient[v1.ExecuteRequest, v1.ExecuteResponse](
+			httpClient,
+			baseURL+CoordinationServiceExecuteProcedure,
+			connect.WithSchema(coordinationServiceMethods.ByName("Execute")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -95,6 +106,7 @@
 	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
 	acquire  *connect.Client[v1.AcquireRequest, v1.AcquireResponse]
 	join     *connect.Client[v1.JoinRequest, v1.JoinResponse]
+	execute  *connect.Client[v1.ExecuteRequest, v1.ExecuteResponse]
 }
 
 // Exchange calls jasmine.v1.CoordinationService.Exchange.
@@ -124,6 +136,15 @@
 	return nil, err
 }
 
+// Execute calls jasmine.v1.CoordinationService.Execute.
+func (c *coordinationServiceClient) Execute(ctx context.Context, req *v1.ExecuteRequest) (*v1.ExecuteResponse, error) {
+	response, err := c.execute.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // CoordinationServiceHandler is an implementation of the jasmine.v1.CoordinationService service.
 type CoordinationServiceHandler interface {
 	// Exchange is the heartbeat of an entry host: it reports its use of the fleet
@@ -133,6 +154,8 @@
 	Acquire(context.Context, *v1.AcquireRequest) (*v1.AcquireResponse, error)
 	// Join offers a control host as a member of the replicated log.
 	Join(context.Context, *v1.JoinRequest) (*v1.JoinResponse, error)
+	// Execute has a control host give an order to an engine that it holds.
+	Execute(context.Context, *v1.ExecuteRequest) (*v1.ExecuteResponse, error)
 }
 
 // NewCoordinationServiceHandler builds an HTTP handler from the service implementation. It returns
@@ -160,6 +183,12 @@
 		connect.WithSchema(coordinationServiceMethods.ByName("Join")),
 		connect.WithHandlerOptions(opts...),
 	)
+	coordinationServiceExecuteHandler := connect.NewUnaryHandlerSimple(
+		CoordinationServiceExecuteProcedure,
+		svc.Execute,
+		connect.WithSchema(coordinationServiceMethods.ByName("Execute")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/jasmine.v1.CoordinationService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case CoordinationServiceExchangeProcedure:
@@ -168,6 +197,8 @@
 			coordinationServiceAcquireHandler.ServeHTTP(w, r)
 		case CoordinationServiceJoinProcedure:
 			coordinationServiceJoinHandler.ServeHTTP(w, r)
+		case CoordinationServiceExecuteProcedure:
+			coordinationServiceExecuteHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -188,3 +219,7 @@
 func (UnimplementedCoordinationServiceHandler) Join(context.Context, *v1.JoinRequest) (*v1.JoinResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jasmine.v1.CoordinationService.Join is not implemented"))
 }
+
+func (UnimplementedCoordinationServiceHandler) Execute(context.Context, *v1.ExecuteRequest) (*v1.ExecuteResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jasmine.v1.CoordinationService.Execute is not implemented"))
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -4,8 +4,10 @@
 //
 // Invariants:
 //   - The leader's tables belong to one term and are dropped with it.
-//   - An order is sent only while the lease is held, and no sooner than
-//     OrderPause after the term began, when no earlier leader can order any more.
+//   - An order is decided only while the lease is held. It is given by the one
+//     control host that holds the engine, whoever leads.
+//   - A new holder gives no order sooner than OrderPause after the earlier one
+//     could give its last.
 //   - A catalog is acknowledged once it is committed, and read only after a
 //     majority has confirmed that this host leads.
 package coordinator
@@ -33,6 +35,7 @@
 	Barrier(ctx context.Context) error
 	Lease() replica.Lease
 	Leadership() *apiv1.Leadership
+	Status() replica.Status
 	Machine() replica.Machine
 	Join(req *apiv1.JoinRequest) *apiv1.JoinResponse
 }
@@ -55,8 +58,10 @@
 	Engines Engines
 	// Decode turns the content of a document into a catalog.
 	Decode func(*apiv1.PutDocument) (*catalog.Catalog, error)
-	// OrderPause is how long a new leader waits before its first order: no
-	// earlier leader's order may arrive within it.
+	// Self is this host's base URL, and Connect returns the RPCs of another host.
+	Self    string
+	Connect func(address string) Executor
+	// OrderPause is how long the orders of two holders of an engine must be apart.
 	OrderPause time.Duration
 	// ListInterval is the time between two reads of the list.
 	ListInterval time.Duration
@@ -76,13 +81,18 @@
 	log     zerolog.Logger
 	metrics metrics
 
+	// seen dates the holders as this host learned of them.
+	seen holderDates
+
 	mu     sync.Mutex
 	leader *leader
 }
 
 // New returns a coordinator. Run must run while it serves.
 func New(opts Options) *Coordinator {
-	return &Coordinator{opts: opts, log: opts.Logger, metrics: newMetrics(opts.Meter)}
+	return &Coordinator{
+		opts: opts, log: opts.Logger, metrics: newMetrics(opts.Meter), seen: holderDates{byInstance: map[string]holderDate{}},
+	}
 }
 
 // Run follows the lease and runs the leader's systems until the context ends.
@@ -97,6 +107,7 @@
 			case <-ctx.Done():
 				return nil
 			case <-ticker.C:
+				c.seen.update(c.machine().Holders(), c.opts.Now())
 				if l := c.follow(ctx, c.opts.Log.Lease()); l != nil {
 					l.tick(c.opts.Now())
 				}
@@ -122,8 +133,7 @@
 	if c.leader == nil {
 		c.leader = newLeader(ctx, c, lease)
 		c.metrics.terms.Add(1)
-		c.log.Info().Str("event", "leadership_gained").Uint64("term", lease.Term).
-			Dur("order_pause", c.opts.OrderPause).Msg("leading")
+		c.log.Info().Str("event", "leadership_gained").Uint64("term", lease.Term).Msg("leading")
 	}
 	return c.leader
 }
--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -205,7 +205,7 @@
 		l.mu.Lock()
 		choice := l.table.Acquire(r, now)
 		var j *job
-		if choice.Load && !now.Before(l.ordersFrom) {
+		if choice.Load {
 			j = l.startJob(jobKey{choice.Instance, r.Ref}, "demand")
 		}
 		l.mu.Unlock()
@@ -217,9 +217,6 @@
 			resp.Instance, resp.Version = choice.Instance, choice.Version
 			resp.ReadyInMs = uint32(choice.ReadyIn.Milliseconds())
 			return
-		case j == nil:
-			resp.Reason, resp.RetryAfterMs = "no_orders_yet", uint32(l.ordersFrom.Sub(now).Milliseconds())
-			return
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/coordinator/job.go
+++ b/internal/coordinator/job.go
@@ -73,18 +73,16 @@
 	return false
 }
 
-// order sends one order, if the lease is still held, and books its outcome.
+// order has one order given, if the lease is still held, and books its outcome.
 func (l *leader) order(ctx context.Context, o residency.Order, reason string) {
 	began := l.c.opts.Now()
-	outcome := residency.Rejected
+	outcome := residency.Conflict
+	l.mu.Lock()
+	h, ready := l.holderOf(o.Instance, began)
+	l.mu.Unlock()
 	lease := l.c.opts.Log.Lease()
-	// The rest of the lease covers the time for which the order may be on its way.
-	if lease.Held && lease.Term == l.term && !began.Before(l.ordersFrom) {
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		outcome = l.c.opts.Engines.Order(ctx, o, l.term)
-		cancel()
-	} else {
-		outcome = residency.Conflict
+	if ready && lease.Held && lease.Term == l.term {
+		outcome = l.execute(ctx, h, o)
 	}
 	now := l.c.opts.Now()
 	l.mu.Lock()
@@ -93,8 +91,8 @@
 	l.mu.Unlock()
 	l.c.metrics.order(outcome)
 	l.log.Info().Str("event", "order").Str("engine", o.Instance).Str("copy", o.Ref.String()).Bool("unload", o.Unload).
-		Uint64("version", o.Version).Uint64("expect", o.Expect).Str("outcome", outcome.String()).
-		Str("reason", reason).Dur("took", now.Sub(began)).Msg("order answered")
+		Uint64("version", o.Version).Uint64("expect", o.Expect).Str("holder", h.GetHolder()).Uint64("fence", h.GetFence()).
+		Str("outcome", outcome.String()).Str("reason", reason).Dur("took", now.Sub(began)).Msg("order answered")
 }
 
 func wait(ctx context.Context, signal <-chan struct{}, most time.Duration) {
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -35,9 +35,7 @@
 	log    zerolog.Logger
 	ctx    context.Context
 	cancel context.CancelFunc
-	// ordersFrom is when the first order may be sent.
-	ordersFrom time.Time
-	marks      *quarantine.Table
+	marks  *quarantine.Table
 
 	mu       sync.Mutex
 	table    *residency.Table
@@ -53,6 +51,7 @@
 	listed    bool
 	listLost  bool
 	reporting map[string]bool
+	holding   *holding
 	nextList  time.Time
 	nextPlan  time.Time
 }
@@ -62,9 +61,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	l := &leader{
 		c: c, term: lease.Term, log: c.log.With().Uint64("term", lease.Term).Logger(), ctx: ctx, cancel: cancel,
-		ordersFrom: now.Add(c.opts.OrderPause), marks: quarantine.NewTable(quarantine.Options{}), table: residency.New(residency.Options{}), divider: share.NewDivider(now),
+		marks: quarantine.NewTable(quarantine.Options{}), table: residency.New(residency.Options{}), divider: share.NewDivider(now),
 		hosts: map[string]*hostUse{}, jobs: map[jobKey]*job{}, answered: make(chan struct{}),
-		reporting: map[string]bool{},
+		reporting: map[string]bool{}, holding: newHolding(),
 	}
 	l.followState(now)
 	return l
@@ -83,7 +82,8 @@
 		go l.readList()
 	}
 	l.readReports(now)
-	if now.Before(l.nextPlan) || now.Before(l.ordersFrom) || l.catalog == nil {
+	l.assignHolders(now)
+	if now.Before(l.nextPlan) || l.catalog == nil {
 		return
 	}
 	l.nextPlan = now.Add(planInterval)
--- a/internal/residency/acquire.go
+++ b/internal/residency/acquire.go
@@ -148,6 +148,9 @@
 
 // mayLoad tells whether the engine has or can make a place for the adapter.
 func (t *Table) mayLoad(e *Engine, ref Ref, now time.Time) bool {
+	if !e.open {
+		return false
+	}
 	if h := e.held[ref]; h != nil {
 		// Another version of it is replaced in its place.
 		return !h.unloading
--- a/internal/residency/order.go
+++ b/internal/residency/order.go
@@ -66,7 +66,7 @@
 	if h := e.held[ref]; h != nil && h.version >= want && !h.unloading {
 		return Order{}, Finished
 	}
-	if e.ordering || !e.sequenceKnown || now.Before(e.notBefore) {
+	if e.ordering || !e.open || !e.sequenceKnown || now.Before(e.notBefore) {
 		return Order{}, Later
 	}
 	if h := e.held[ref]; h != nil && h.unloading {
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -162,7 +162,7 @@
 func (t *Table) Models(now time.Time) []Wanted {
 	var out []Wanted
 	for _, e := range t.Engines() {
-		if e.Draining || !t.isEngine(e) || !e.sequenceKnown || t.modelOf(e) {
+		if e.Draining || !e.open || !t.isEngine(e) || !e.sequenceKnown || t.modelOf(e) {
 			continue
 		}
 		ref := t.wantedModel(e, now)
--- a/internal/residency/table.go
+++ b/internal/residency/table.go
@@ -110,6 +110,8 @@
 	sequenceKnown bool
 	lastOrder     time.Time
 	ordering      bool
+	// open is true when some host may give orders to the engine now.
+	open bool
 	// notBefore is when a busy engine may take the next order, and conflicts the
 	// number of orders in a row that it did not take.
 	notBefore time.Time
@@ -364,3 +366,10 @@
 		}
 	}
 }
+
+// SetOpen tells whether some host may give orders to the engine now.
+func (t *Table) SetOpen(instance string, open bool) {
+	if e := t.engines[instance]; e != nil {
+		e.open = open
+	}
+}
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -27,6 +27,7 @@
 	calls       *calls.Table
 	quarantines quarantines
 	documents   documents
+	holders     holders
 	changed     chan struct{}
 }
 
@@ -39,6 +40,7 @@
 		calls:       calls.New(),
 		quarantines: quarantines{},
 		documents:   newDocuments(),
+		holders:     newHolders(),
 		changed:     make(chan struct{}),
 	}
 }
@@ -71,6 +73,8 @@
 		return m.documents.put(c.PutDocument)
 	case *apiv1.Command_PutAdapterVersion:
 		return m.documents.putVersion(c.PutAdapterVersion)
+	case *apiv1.Command_PutHolders:
+		m.holders.put(c.PutHolders)
 	}
 	return nil
 }
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -277,7 +277,7 @@
 		change func(*apiv1.StateSnapshot)
 		want   fault.Kind
 	}{
-		"newer":      {func(s *apiv1.StateSnapshot) { s.Format = 2 }, fault.KindStorageVersion},
+		"newer":      {func(s *apiv1.StateSnapshot) { s.Format = snapshotFormat + 1 }, fault.KindStorageVersion},
 		"empty":      {func(s *apiv1.StateSnapshot) { proto.Reset(s) }, fault.KindStorageDamaged},
 		"content":    {func(s *apiv1.StateSnapshot) { s.Config.BaseModels[0].Name = "x" }, fault.KindStorageDamaged},
 		"gap":        {func(s *apiv1.StateSnapshot) { s.Changes[0].Number = 9 }, fault.KindStorageDamaged},
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -45,6 +45,8 @@
 
 		Document:        m.documents.current,
 		AdapterVersions: m.documents.sortedVersions(0),
+		EngineHolders:   m.holders.sorted(),
+		LastFence:       m.holders.fence,
 	}, m.config
 }
 
@@ -71,7 +73,7 @@
 	m.applied, m.clock = s.GetAppliedIndex(), s.GetClockUnixMs()
 	m.config, m.index, m.history = next.config, next.index, next.history
 	m.calls, m.quarantines = next.calls, next.quarantines
-	m.documents = next.documents
+	m.documents, m.holders = next.documents, next.holders
 	m.notify()
 	return nil
 }
@@ -111,8 +113,14 @@
 	for _, v := range s.GetAdapterVersions() {
 		docs.putVersion(v)
 	}
+	held := newHolders()
+	held.fence = s.GetLastFence()
+	for _, h := range s.GetEngineHolders() {
+		held.byInstance[h.GetInstance()] = h
+	}
 	return &Machine{
-		config: cfg, index: manifest.NewIndex(cfg), history: h, calls: table, quarantines: q, documents: docs,
+		holders: held,
+		config:  cfg, index: manifest.NewIndex(cfg), history: h, calls: table, quarantines: q, documents: docs,
 	}, nil
 }
 
