Unload only what an engine has named, and take its report over whole

Ruled out: a late order (none was without an answer at that engine). Change: a copy is unloaded only once the engine has named it; adapters are retired for 0.6 s before, so that no request is on its way to them; a report replaces what the table believes.

--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -220,7 +220,10 @@
 		}
 		select {
 		case <-ctx.Done():
-			resp.Reason, resp.RetryAfterMs = "order_not_answered", uint32(noPlaceRetry.Milliseconds())
+			l.mu.Lock()
+			resp.Reason = "engine_waits_" + l.table.Waits(choice.Instance, l.c.opts.Now())
+			l.mu.Unlock()
+			resp.RetryAfterMs = uint32(noPlaceRetry.Milliseconds())
 			return
 		case <-j.done:
 			if !j.ok {
--- a/internal/coordinator/job.go
+++ b/internal/coordinator/job.go
@@ -10,7 +10,7 @@
 const (
 	// orderTimeout bounds one order. An order without an answer by then is
 	// treated as one that may be carried out late.
-	orderTimeout = 150 * time.Millisecond
+	orderTimeout = 80 * time.Millisecond
 	// jobTimeout bounds all orders of one load.
 	jobTimeout = 3 * time.Second
 	// laterPause is how long a job waits for an engine that cannot take an order,
@@ -46,10 +46,17 @@
 func (l *leader) runJob(key jobKey, j *job, reason string) {
 	ctx, cancel := context.WithTimeout(l.ctx, jobTimeout)
 	defer cancel()
+	began := l.c.opts.Now()
 	j.ok = l.orderUntilHeld(ctx, key, reason)
+	now := l.c.opts.Now()
 	l.mu.Lock()
 	delete(l.jobs, key)
+	waits := l.table.Waits(key.instance, now)
 	l.mu.Unlock()
+	if !j.ok {
+		l.log.Info().Str("event", "load_given_up").Str("engine", key.instance).Str("copy", key.ref.String()).
+			Str("engine_waits", waits).Str("reason", reason).Dur("took", now.Sub(began)).Msg("no order towards the load was accepted")
+	}
 	close(j.done)
 }
 
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -188,6 +188,8 @@
 		return
 	}
 	delete(l.reporting, instance)
+	l.log.Info().Str("event", "report").Str("engine", instance).Uint64("sequence", report.Sequence).Int("held", len(report.Held)).
+		Int("coming", len(report.Coming)).Bool("busy", report.Busy).Msg("engine's report read")
 	l.table.ObserveReport(instance, report, now)
 	l.wake()
 }
@@ -206,6 +208,7 @@
 
 // plan has models, newer versions and further copies loaded.
 func (l *leader) plan(now time.Time) {
+	l.table.Retire(now)
 	var wanted []residency.Wanted
 	wanted = append(wanted, l.table.Models(now)...)
 	wanted = append(wanted, l.table.Outdated(now)...)
--- a/internal/residency/acquire.go
+++ b/internal/residency/acquire.go
@@ -50,6 +50,7 @@
 	if best, in := t.bestHolder(engines, r.Ref, now); best != nil {
 		h := best.held[r.Ref]
 		h.lastUse = now
+		t.revive(best, h)
 		best.pending += r.PromptTokens
 		return Choice{Instance: best.Instance, Version: h.version, ReadyIn: in}
 	}
@@ -148,7 +149,7 @@
 
 // mayLoad tells whether the engine has or can make a place for the adapter.
 func (t *Table) mayLoad(e *Engine, ref Ref, now time.Time) bool {
-	if !e.open {
+	if !e.open || now.Before(e.notBefore) {
 		return false
 	}
 	if h := e.held[ref]; h != nil {
@@ -219,17 +220,38 @@
 // the requests for which it was loaded reach it before hosts report them.
 const keepTime = 400 * time.Millisecond
 
-// victim returns the adapter that was not used for the longest time, or nothing
-// when all are in use.
+// victim returns the adapter to give up for another one, or nothing when all are
+// in use: one that has retired for long enough, else the one that was not used
+// for the longest time.
 func (t *Table) victim(e *Engine, now time.Time) Ref {
+	if ref := oldest(e, func(h *held) bool {
+		return !h.retiredAt.IsZero() && now.Sub(h.retiredAt) >= retireTime && h.uses == 0
+	}); ref != (Ref{}) {
+		return ref
+	}
+	return oldest(e, func(h *held) bool { return t.idle(h, now) })
+}
+
+// idle tells whether nobody is known to use the copy or to wait for it.
+func (t *Table) idle(h *held, now time.Time) bool {
+	sure := h.confirmed || now.Sub(h.orderedAt) >= surelyLoaded
+	return sure && h.uses == 0 && !h.unloading && !h.readyAt.After(now) && now.Sub(h.lastUse) >= keepTime
+}
+
+// surelyLoaded is how long after its order a copy is there, also when the store
+// is slow.
+const surelyLoaded = 2 * time.Second
+
+// oldest returns the adapter that fits and was not used for the longest time.
+func oldest(e *Engine, fits func(*held) bool) Ref {
 	var victim Ref
-	var oldest time.Time
+	var at time.Time
 	for ref, h := range e.held {
-		if ref.Adapter == "" || h.uses > 0 || h.unloading || h.readyAt.After(now) || now.Sub(h.lastUse) < keepTime {
+		if ref.Adapter == "" || h.unloading || !fits(h) {
 			continue
 		}
-		if victim == (Ref{}) || h.lastUse.Before(oldest) || h.lastUse.Equal(oldest) && ref.Adapter < victim.Adapter {
-			victim, oldest = ref, h.lastUse
+		if victim == (Ref{}) || h.lastUse.Before(at) || h.lastUse.Equal(at) && ref.Adapter < victim.Adapter {
+			victim, at = ref, h.lastUse
 		}
 	}
 	return victim
--- a/internal/residency/order.go
+++ b/internal/residency/order.go
@@ -164,3 +164,23 @@
 	}
 	return t.opts.ColdLoad
 }
+
+// Waits says why an engine takes no order now; empty when it does.
+func (t *Table) Waits(instance string, now time.Time) string {
+	e := t.engines[instance]
+	switch {
+	case e == nil:
+		return "gone"
+	case e.Draining:
+		return "draining"
+	case !e.open:
+		return "no_holder"
+	case e.ordering:
+		return "order_on_its_way"
+	case !e.sequenceKnown:
+		return "sequence_unknown"
+	case now.Before(e.notBefore):
+		return "busy"
+	}
+	return ""
+}
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -257,3 +257,47 @@
 	s.starts = append(s.starts, now)
 	return true
 }
+
+const (
+	// retireTime is how long an adapter is retired before it is unloaded: two
+	// exchanges, after which no host sends requests to it, and its last ones are
+	// reported. An unload that waits for a request keeps its engine from all other
+	// orders.
+	retireTime = 600 * time.Millisecond
+	// retiredPart is the part of an engine's places that are free or retired, as a
+	// divisor. Loads come at up to ten a second at one engine.
+	retiredPart = 5
+)
+
+// Retire picks the adapters that make room for the next loads. A retired adapter
+// that is asked for again is used again at once.
+func (t *Table) Retire(now time.Time) {
+	for _, e := range t.engines {
+		s := t.services[e.Service]
+		if s == nil || s.Engine == nil || e.Draining {
+			continue
+		}
+		spare := t.free(e)
+		for _, h := range e.held {
+			if !h.retiredAt.IsZero() || h.unloading {
+				spare++
+			}
+		}
+		for want := max(1, s.Engine.AdapterPlaces/retiredPart); spare < want; spare++ {
+			ref := oldest(e, func(h *held) bool { return h.retiredAt.IsZero() && t.idle(h, now) })
+			if ref == (Ref{}) {
+				break
+			}
+			e.held[ref].retiredAt = now
+			t.touch(e)
+		}
+	}
+}
+
+// revive takes a retired copy into use again.
+func (t *Table) revive(e *Engine, h *held) {
+	if !h.retiredAt.IsZero() {
+		h.retiredAt = time.Time{}
+		t.touch(e)
+	}
+}
--- a/internal/residency/table.go
+++ b/internal/residency/table.go
@@ -95,6 +95,12 @@
 	lastUse   time.Time
 	uses      int
 	unloading bool
+	// confirmed is true when the engine itself has named the copy. A load may take
+	// longer than estimated, and an unload of what is not there yet does nothing.
+	confirmed bool
+	// retiredAt is since when hosts are told not to use the adapter, so that it can
+	// be unloaded without a request on its way to it; zero while it is in use.
+	retiredAt time.Time
 	// cold tells how the load was counted.
 	cold bool
 }
@@ -229,12 +235,14 @@
 		if at, ok := e.dropped[c.Ref]; ok && now.Sub(at) < settleTime {
 			return
 		}
-		e.held[c.Ref] = &held{version: c.Version, lastUse: now, readyAt: now}
+		e.held[c.Ref] = &held{version: c.Version, lastUse: now, readyAt: now, confirmed: true}
 		t.touch(e)
 	case c.Version > h.version, c.Version != h.version && now.Sub(h.orderedAt) >= settleTime,
 		c.Version == h.version && h.readyAt.After(now):
-		h.version, h.readyAt = c.Version, minTime(h.readyAt, now)
+		h.version, h.readyAt, h.confirmed = c.Version, minTime(h.readyAt, now), true
 		t.touch(e)
+	case c.Version == h.version:
+		h.confirmed = true
 	}
 }
 
@@ -259,7 +267,9 @@
 type Report struct {
 	Born     int64
 	Sequence uint64
-	Held     []Copy
+	// Busy is true while an order is in progress.
+	Busy bool
+	Held []Copy
 	// Coming are adapters on their way to the engine.
 	Coming []Copy
 }
@@ -278,15 +288,40 @@
 		t.touch(e)
 	}
 	e.sequence, e.sequenceKnown = r.Sequence, true
-	t.reconcile(e, r.Held, now)
+	if r.Busy {
+		e.notBefore = now.Add(reportedBusyPause)
+	}
+	t.replaceHeld(e, r, now)
+}
+
+// replaceHeld takes over what a report names and nothing else: the report counts
+// every order, also those whose answers were misunderstood.
+func (t *Table) replaceHeld(e *Engine, r Report, now time.Time) {
+	clear(e.dropped)
+	before := e.held
+	e.held = map[Ref]*held{}
+	for _, c := range r.Held {
+		h := &held{lastUse: now}
+		if old := before[c.Ref]; old != nil {
+			h = old
+		}
+		h.version, h.readyAt, h.confirmed, h.unloading = c.Version, now, true, false
+		e.held[c.Ref] = h
+	}
 	for _, c := range r.Coming {
-		if e.held[c.Ref] == nil {
-			e.held[c.Ref] = &held{version: c.Version, lastUse: now, orderedAt: now, readyAt: now.Add(t.opts.ColdLoad), cold: true}
-			t.touch(e)
+		h := &held{version: c.Version, lastUse: now, orderedAt: now, readyAt: now.Add(t.opts.ColdLoad), cold: true}
+		if old := before[c.Ref]; old != nil && old.readyAt.After(now) {
+			h.readyAt = old.readyAt
 		}
+		e.held[c.Ref] = h
 	}
+	t.touch(e)
 }
 
+// reportedBusyPause is how long an engine is left alone that reports an order in
+// progress, most likely an unload that waits for a run.
+const reportedBusyPause = 150 * time.Millisecond
+
 // reportAfter is how long after an order an engine's report is sure to count it.
 const reportAfter = 400 * time.Millisecond
 
@@ -334,11 +369,11 @@
 	ReadyIn time.Duration
 }
 
-// Holds returns what the engine holds and is not giving up, sorted by name.
+// Holds returns what the engine holds and is not about to give up, sorted by name.
 func (e *Engine) Holds(now time.Time) []HeldCopy {
 	var out []HeldCopy
 	for ref, h := range e.held {
-		if !h.unloading {
+		if !h.unloading && h.retiredAt.IsZero() {
 			out = append(out, HeldCopy{Copy{ref, h.version}, max(0, h.readyAt.Sub(now))})
 		}
 	}
