Tell a new leader what engines keep copies of

Cause: a new leader counted every load as one from the weight store, of which 16 run at once, although engines load what they held before ten times as fast. Change: the holder of an engine remembers what it unloaded and tells the leader.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -82,7 +82,8 @@
 	metrics metrics
 
 	// seen dates the holders as this host learned of them.
-	seen holderDates
+	seen   holderDates
+	memory memory
 
 	mu     sync.Mutex
 	leader *leader
@@ -92,6 +93,7 @@
 func New(opts Options) *Coordinator {
 	return &Coordinator{
 		opts: opts, log: opts.Logger, metrics: newMetrics(opts.Meter), seen: holderDates{byInstance: map[string]holderDate{}},
+		memory: memory{copies: map[string][]residency.Ref{}},
 	}
 }
 
--- a/internal/coordinator/holder.go
+++ b/internal/coordinator/holder.go
@@ -183,6 +183,12 @@
 			go l.probe(address)
 		}
 	}
+	for _, h := range live {
+		if hh := l.holding.host(h.address); !hh.hasClock && !hh.probing && now.Sub(hh.probed) >= probeInterval {
+			hh.probing, hh.probed = true, now
+			go l.probe(h.address)
+		}
+	}
 	slices.SortFunc(live, func(a, b liveHost) int {
 		if a.address < b.address {
 			return -1
@@ -277,7 +283,7 @@
 	ctx, cancel := context.WithTimeout(l.ctx, holderTimeout)
 	defer cancel()
 	if address == l.c.opts.Self {
-		l.heardHolder(address, &apiv1.ExecuteResponse{NowNs: l.c.opts.Now().UnixNano()}, nil)
+		l.heardHolder(address, &apiv1.ExecuteResponse{NowNs: l.c.opts.Now().UnixNano(), Copies: l.c.memory.all()}, nil)
 		return
 	}
 	_, _ = l.call(ctx, address, &apiv1.ExecuteRequest{Term: l.term})
@@ -310,6 +316,9 @@
 	}
 	hh.failing = time.Time{}
 	hh.ahead, hh.hasClock = time.Unix(0, resp.GetNowNs()).Sub(now), true
+	for _, c := range resp.GetCopies() {
+		l.table.SetCopies(c.GetInstance(), decodeRefs(c.GetAdapters()))
+	}
 }
 
 // Execute gives an order that the leader has decided, unless it was held up on
@@ -317,7 +326,11 @@
 func (c *Coordinator) Execute(ctx context.Context, req *apiv1.ExecuteRequest) (*apiv1.ExecuteResponse, error) {
 	now := c.opts.Now()
 	resp := &apiv1.ExecuteResponse{NowNs: now.UnixNano()}
-	if req.GetBeforeNs() == 0 || now.UnixNano() >= req.GetBeforeNs() || req.GetTerm() < c.Leadership().GetTerm() {
+	if req.GetBeforeNs() == 0 {
+		resp.Copies = c.memory.all()
+		return resp, nil
+	}
+	if now.UnixNano() >= req.GetBeforeNs() || req.GetTerm() < c.Leadership().GetTerm() {
 		return resp, nil
 	}
 	o := residency.Order{
@@ -334,5 +347,7 @@
 func (c *Coordinator) give(ctx context.Context, o residency.Order, fence uint64) residency.Outcome {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	return c.opts.Engines.Order(ctx, o, fence)
+	outcome := c.opts.Engines.Order(ctx, o, fence)
+	c.memory.note(o, outcome)
+	return outcome
 }
--- a/internal/residency/table.go
+++ b/internal/residency/table.go
@@ -408,3 +408,18 @@
 		e.open = open
 	}
 }
+
+// SetCopies tells which adapters an engine has given up lately, the oldest first,
+// when a new leader learns of them. What the table has seen itself goes first.
+func (t *Table) SetCopies(instance string, refs []Ref) {
+	e := t.engines[instance]
+	if e == nil {
+		return
+	}
+	own := e.recent
+	e.recent = slices.DeleteFunc(slices.Clone(refs), func(r Ref) bool { return e.held[r] != nil || slices.Contains(own, r) })
+	e.recent = append(e.recent, own...)
+	if n := len(e.recent) - t.opts.Copies; n > 0 {
+		e.recent = slices.Delete(e.recent, 0, n)
+	}
+}
