--- /dev/null
+++ b/internal/gateway/fakes_test.go
@@ -0,0 +1,225 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
+	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
+	"github.com/jasminesaddle/jasminesaddle/internal/h1"
+	"github.com/jasminesaddle/jasminesaddle/internal/meter"
+	"github.com/jasminesaddle/jasminesaddle/internal/residency"
+	"github.com/jasminesaddle/jasminesaddle/internal/retry"
+	"github.com/jasminesaddle/jasminesaddle/internal/share"
+)
+
+// body is an answer's body: pieces that come one after the other, and its end.
+type body struct {
+	pieces []string
+	gap    time.Duration
+	end    error
+	ctx    context.Context
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	if len(b.pieces) == 0 {
+		if b.end == nil {
+			return 0, io.EOF
+		}
+		if b.end == errSilent {
+			<-b.ctx.Done()
+			return 0, b.ctx.Err()
+		}
+		return 0, b.end
+	}
+	if b.gap > 0 {
+		time.Sleep(b.gap)
+	}
+	n := copy(p, b.pieces[0])
+	b.pieces[0] = b.pieces[0][n:]
+	if b.pieces[0] == "" {
+		b.pieces = b.pieces[1:]
+	}
+	return n, nil
+}
+
+func (b *body) Close() error              { return nil }
+func (b *body) SetReadDeadline(time.Time) {}
+func (b *body) Buffered() int             { return 0 }
+
+var (
+	errSilent = errors.New("nothing comes any more")
+	errReset  = errors.New("connection reset")
+)
+
+// reply is what a backend server does with one attempt.
+type reply struct {
+	status      int
+	notRun      bool
+	misdirected bool
+	forged      bool
+	body        *body
+	err         error
+	after       time.Duration
+}
+
+// sent is one attempt as a backend server saw it.
+type sent struct {
+	instance string
+	call     Call
+}
+
+// host is a gateway with fakes around it.
+type host struct {
+	t       *testing.T
+	g       *Gateway
+	view    *exchange.View
+	rates   *share.Holder
+	acquire func(residency.Request) (exchange.Acquired, error)
+	answer  func(n int, c Call) reply
+	crashed map[string]bool
+
+	mu   sync.Mutex
+	sent []sent
+}
+
+func (h *host) View() *exchange.View { return h.view }
+
+func (h *host) Acquire(_ context.Context, r residency.Request) (exchange.Acquired, error) {
+	return h.acquire(r)
+}
+
+func (h *host) Send(ctx context.Context, r *Request, c Call) (*Answer, error) {
+	h.mu.Lock()
+	n := len(h.sent)
+	h.sent = append(h.sent, sent{c.Instance, c})
+	h.mu.Unlock()
+	rep := h.answer(n, c)
+	select {
+	case <-time.After(rep.after):
+	case <-ctx.Done():
+		return nil, h1.NewError(true, true, ctx.Err())
+	}
+	if rep.err != nil {
+		return nil, rep.err
+	}
+	if rep.body == nil {
+		rep.body = &body{}
+	}
+	rep.body.ctx = ctx
+	return &Answer{
+		Status: rep.status, Header: http.Header{}, Length: -1, Body: rep.body, NotRun: rep.notRun || rep.misdirected,
+		Misdirected: rep.misdirected, Genuine: !rep.forged,
+	}, nil
+}
+
+func (h *host) Reachable(_ context.Context, address string) bool { return !h.crashed[address] }
+
+// caller records what a caller gets.
+type caller struct {
+	status  int
+	started bool
+	aborted bool
+	bytes.Buffer
+}
+
+func (c *caller) Start(status int, _ http.Header, _ int64) { c.status, c.started = status, true }
+func (c *caller) Flush() error                             { return nil }
+func (c *caller) Abort()                                   { c.aborted = true }
+
+const (
+	llm   = "llm"
+	plain = "plain"
+)
+
+var adapter = residency.Ref{Model: "m", Adapter: "a1"}
+
+func route(name string, edit func(*catalog.Route)) catalog.Route {
+	r := catalog.Route{
+		Name: name, Host: "h", Prefix: "/" + name + "/", Timeout: 3 * time.Second, Objective: 500 * time.Millisecond,
+		MaxAttempts: 2, Split: []catalog.Share{{Service: plain, Weight: 1}},
+	}
+	edit(&r)
+	return r
+}
+
+// start runs a test with a gateway over three servers of each service.
+func start(t *testing.T, test func(h *host)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		cat, err := catalog.New(catalog.Catalog{
+			Revision: 7,
+			Services: []catalog.Service{{Name: plain}, {Name: llm, Engine: &catalog.Engine{AdapterPlaces: 4, MemoryMB: 100}}},
+			Routes: []catalog.Route{
+				route("safe", func(r *catalog.Route) { r.Repeatable = true }),
+				route("unsafe", func(r *catalog.Route) { r.MaxAttempts = 1 }),
+				route("stream", func(r *catalog.Route) {
+					r.Streaming, r.Repeatable, r.Resumable = true, true, true
+					r.Split = []catalog.Share{{Service: llm, Weight: 1}}
+				}),
+				route("once", func(r *catalog.Route) {
+					r.Streaming, r.MaxAttempts = true, 1
+					r.Split = []catalog.Share{{Service: llm, Weight: 1}}
+				}),
+			},
+			Teams: []catalog.Team{{Name: "red", Keys: []string{"k"}, Rate: 1000, Burst: 1000, ByTokens: true, PlainTokens: 10}},
+		})
+		must.NoError(t, err)
+		h := &host{t: t, rates: share.NewHolder(), crashed: map[string]bool{}}
+		now := time.Now()
+		h.rates.Apply([]share.Part{{Team: "red", PerSecond: 1000, Burst: 1000, Fraction: 1, Valid: time.Hour}}, now, now)
+		h.view = &exchange.View{Catalog: cat, Confirmed: now, Servers: map[string]*exchange.Server{}, ByService: map[string][]*exchange.Server{}}
+		for _, service := range []string{plain, llm} {
+			for _, n := range []string{"1", "2", "3"} {
+				s := &exchange.Server{Instance: service + n, Service: service, Address: service + n, Slots: 4, Held: map[residency.Ref]exchange.Held{}}
+				if service == llm {
+					s.Held[residency.Ref{Model: "m"}] = exchange.Held{Version: 1, ReadyAt: now}
+					s.Held[adapter] = exchange.Held{Version: 1, ReadyAt: now}
+				}
+				h.view.Servers[s.Instance] = s
+				h.view.ByService[service] = append(h.view.ByService[service], s)
+			}
+		}
+		h.g = New(Options{
+			Fleet: h, Rates: h.rates, Backend: h, Forget: func(string) {}, Repeats: retry.Options{Ratio: 1, Floor: 100, Saved: 100},
+			Logger: zerolog.Nop(), Meter: meter.NewSet(""), Now: time.Now,
+		})
+		test(h)
+		synctest.Wait()
+	})
+}
+
+// ask serves one request on a route.
+func (h *host) ask(name string, edit func(*Request)) (*caller, error) {
+	r := &Request{
+		ID: "id", Method: "POST", Target: "/" + name + "/x", Path: "/" + name + "/x", Host: "h", Key: "k",
+		Budget: 2 * time.Second, Received: time.Now(),
+	}
+	if name == "stream" || name == "once" {
+		r.Generation, r.Weights, r.PromptTokens, r.OutputTokens = true, adapter, 50, 10
+	}
+	if edit != nil {
+		edit(r)
+	}
+	c := &caller{}
+	err := h.g.Serve(context.Background(), r, c)
+	return c, err
+}
+
+func (h *host) instances() []string {
+	var out []string
+	for _, s := range h.sent {
+		out = append(out, s.instance)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,387 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/h1"
+	"github.com/jasminesaddle/jasminesaddle/internal/residency"
+	"github.com/jasminesaddle/jasminesaddle/internal/share"
+)
+
+func event(id string) string { return "id: " + id + "\ndata: " + id + "\n\n" }
+
+func runOf(t *testing.T, err error) fault.Run {
+	t.Helper()
+	e, ok := fault.As(err)
+	must.True(t, ok, must.Sprint(err))
+	return e.Run
+}
+
+// A request that may not be repeated must be sent again only when the server
+// says, or when it is certain, that it has not run. What the caller is told must
+// be true for every attempt.
+func TestRepeats(t *testing.T) {
+	reset := h1.NewError(true, false, errReset)
+	refused := h1.NewError(false, false, errReset)
+	ok := reply{status: 200, body: &body{pieces: []string{"ok"}}}
+	for name, tc := range map[string]struct {
+		route  string
+		first  reply
+		sends  int
+		run    fault.Run // of the refusal; empty when served
+		status int
+	}{
+		"unsafe, lost answer":      {"unsafe", reply{err: reset}, 1, fault.OutcomeUnknown, 0},
+		"unsafe, no connection":    {"unsafe", reply{err: refused}, 2, "", 200},
+		"unsafe, full":             {"unsafe", reply{status: 503, notRun: true}, 2, "", 200},
+		"unsafe, other instance":   {"unsafe", reply{status: 421, misdirected: true}, 2, "", 200},
+		"unsafe, error":            {"unsafe", reply{status: 500, body: &body{pieces: []string{"e"}}}, 1, "", 500},
+		"unsafe, cut answer":       {"unsafe", reply{status: 200, body: &body{pieces: []string{"o"}, end: errReset}}, 1, fault.OutcomeUnknown, 0},
+		"unsafe, forged answer":    {"unsafe", reply{status: 200, forged: true}, 1, fault.OutcomeUnknown, 0},
+		"safe, lost answer":        {"safe", reply{err: reset}, 2, "", 200},
+		"safe, error":              {"safe", reply{status: 500}, 2, "", 200},
+		"safe, cut answer":         {"safe", reply{status: 200, body: &body{pieces: []string{"o"}, end: errReset}}, 2, "", 200},
+		"safe, refused by content": {"safe", reply{status: 404}, 1, "", 404},
+		"safe, silent":             {"safe", reply{after: time.Hour}, 2, "", 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start(t, func(h *host) {
+				h.answer = func(n int, _ Call) reply {
+					if n == 0 {
+						return tc.first
+					}
+					ok := ok
+					ok.body = &body{pieces: []string{"ok"}}
+					return ok
+				}
+				c, err := h.ask(tc.route, nil)
+				must.Eq(t, tc.sends, len(h.sent))
+				if tc.run != "" {
+					must.Eq(t, tc.run, runOf(t, err))
+					must.False(t, c.started)
+					return
+				}
+				must.NoError(t, err)
+				must.Eq(t, tc.status, c.status)
+				if tc.status == 200 {
+					must.Eq(t, "ok", c.String(), must.Sprint("the caller got parts of two answers"))
+				}
+			})
+		})
+	}
+}
+
+// A later refusal must not hide that an earlier attempt may have run.
+func TestRefusalAfterRun(t *testing.T) {
+	start(t, func(h *host) {
+		h.answer = func(n int, _ Call) reply {
+			if n == 0 {
+				return reply{err: h1.NewError(true, false, errReset)}
+			}
+			return reply{status: 503, notRun: true}
+		}
+		_, err := h.ask("safe", nil)
+		must.NotEq(t, fault.NotRun, runOf(t, err))
+	})
+}
+
+// A stream that breaks off must go on at another engine after the last whole
+// event, with no event twice, none missing, and no part of one.
+func TestResume(t *testing.T) {
+	start(t, func(h *host) {
+		h.answer = func(n int, c Call) reply {
+			if n == 0 {
+				return reply{status: 200, body: &body{pieces: []string{event("1") + event("2") + "id: 3\nda"}, end: errReset}}
+			}
+			must.Eq(t, "2", c.AfterEvent)
+			return reply{status: 200, body: &body{pieces: []string{event("3"), event("4")}}}
+		}
+		c, err := h.ask("stream", nil)
+		must.NoError(t, err)
+		must.False(t, c.aborted)
+		must.Eq(t, event("1")+event("2")+event("3")+event("4"), c.String())
+		must.NotEq(t, h.sent[0].instance, h.sent[1].instance)
+	})
+}
+
+// A stream that cannot go on must end the caller's connection, so that it does
+// not look complete; also when it ends within an event.
+func TestCutStream(t *testing.T) {
+	for name, b := range map[string]*body{
+		"reset":        {pieces: []string{event("1")}, end: errReset},
+		"within event": {pieces: []string{event("1"), "id: 2\n"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start(t, func(h *host) {
+				h.answer = func(int, Call) reply { return reply{status: 200, body: b} }
+				c, err := h.ask("once", nil)
+				must.NoError(t, err)
+				must.True(t, c.aborted)
+				must.Len(t, 1, h.sent)
+				must.Eq(t, event("1"), c.String())
+			})
+		})
+	}
+}
+
+// An engine that goes silent in a stream must not hold the caller until its time
+// is up; a request that may not be repeated must be left to go on.
+func TestSilentEngine(t *testing.T) {
+	start(t, func(h *host) {
+		h.answer = func(n int, _ Call) reply {
+			if n == 0 {
+				return reply{status: 200, body: &body{pieces: []string{event("1")}, end: errSilent}}
+			}
+			return reply{status: 200, body: &body{pieces: []string{event("2")}}}
+		}
+		began := time.Now()
+		c, err := h.ask("stream", nil)
+		must.NoError(t, err)
+		must.Eq(t, event("1")+event("2"), c.String())
+		must.Less(t, 1500*time.Millisecond, time.Since(began))
+	})
+	start(t, func(h *host) {
+		h.answer = func(int, Call) reply { return reply{after: 1800 * time.Millisecond, status: 200} }
+		_, err := h.ask("unsafe", nil)
+		must.NoError(t, err)
+		must.Len(t, 1, h.sent)
+	})
+}
+
+// At the end of its time a request must get its answer, and it must not say that
+// a request has not run that was sent.
+func TestDeadline(t *testing.T) {
+	start(t, func(h *host) {
+		h.answer = func(int, Call) reply { return reply{after: time.Hour} }
+		began := time.Now()
+		_, err := h.ask("unsafe", nil)
+		must.Eq(t, fault.OutcomeUnknown, runOf(t, err))
+		must.LessEq(t, 2*time.Second, time.Since(began))
+		must.Greater(t, 1900*time.Millisecond, time.Since(began))
+	})
+}
+
+// The time that the server may work must not be longer than what the caller still
+// waits, also for a second attempt.
+func TestTimeLeft(t *testing.T) {
+	start(t, func(h *host) {
+		h.answer = func(n int, _ Call) reply {
+			if n == 0 {
+				return reply{after: 300 * time.Millisecond, err: h1.NewError(true, false, errReset)}
+			}
+			return reply{status: 200}
+		}
+		_, err := h.ask("safe", nil)
+		must.NoError(t, err)
+		must.LessEq(t, 2*time.Second, h.sent[0].call.Left)
+		must.LessEq(t, h.sent[0].call.Left-300*time.Millisecond, h.sent[1].call.Left)
+		must.Eq(t, "red", h.sent[0].call.Team)
+	})
+}
+
+// An unknown route or key may be one that this host has not heard of. Only a host
+// with a fresh view may say that there is none.
+func TestUnknown(t *testing.T) {
+	for name, tc := range map[string]struct {
+		edit  func(*Request)
+		stale bool
+		want  fault.Kind
+	}{
+		"route":        {func(r *Request) { r.Path = "/none/x" }, false, fault.KindUnknownRoute},
+		"route, stale": {func(r *Request) { r.Path = "/none/x" }, true, fault.KindStaleView},
+		"key":          {func(r *Request) { r.Key = "none" }, false, fault.KindUnauthorized},
+		"key, stale":   {func(r *Request) { r.Key = "none" }, true, fault.KindStaleView},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start(t, func(h *host) {
+				if tc.stale {
+					h.view.Confirmed = h.view.Confirmed.Add(-time.Minute)
+				}
+				_, err := h.ask("safe", tc.edit)
+				must.Eq(t, tc.want, fault.KindOf(err))
+				must.SliceEmpty(t, h.sent)
+			})
+		})
+	}
+	start(t, func(h *host) {
+		h.view = &exchange.View{}
+		_, err := h.ask("safe", nil)
+		must.Eq(t, fault.KindStaleView, fault.KindOf(err))
+	})
+}
+
+// A team beyond its rate must be refused, and tokens of requests that did not run
+// must come back.
+func TestRate(t *testing.T) {
+	start(t, func(h *host) {
+		h.answer = func(int, Call) reply { return reply{status: 503, notRun: true} }
+		for range 50 {
+			_, err := h.ask("unsafe", func(r *Request) { r.PromptTokens = 400 })
+			must.NotEq(t, fault.KindRateLimited, fault.KindOf(err), must.Sprint("tokens of requests that did not run are lost"))
+		}
+		h.answer = func(int, Call) reply { return reply{status: 200} }
+		limited := false
+		for range 10 {
+			_, err := h.ask("unsafe", func(r *Request) { r.PromptTokens = 400 })
+			if fault.Is(err, fault.KindRateLimited) {
+				limited = true
+				must.Eq(t, fault.NotRun, runOf(t, err))
+			}
+		}
+		must.True(t, limited)
+	})
+}
+
+// A request that crashed several servers must not reach another one, and a lost
+// answer of a server that lives is no crash.
+func TestCrashMarks(t *testing.T) {
+	start(t, func(h *host) {
+		h.answer = func(int, Call) reply { return reply{err: h1.NewError(true, false, errReset)} }
+		_, _ = h.ask("unsafe", nil)
+		synctest.Wait()
+		time.Sleep(time.Second)
+		req := &apiv1.ExchangeRequest{}
+		h.g.Report(req)
+		must.SliceEmpty(t, req.GetCrashes())
+		for _, n := range []string{"1", "2", "3"} {
+			h.crashed[plain+n] = true
+		}
+		h.view.Confirmed = time.Now()
+		_, _ = h.ask("unsafe", nil)
+		synctest.Wait()
+		time.Sleep(time.Second)
+		h.g.Reported(true)
+		h.g.Report(req)
+		must.Len(t, 1, req.GetCrashes())
+		h.g.Reported(false)
+		again := &apiv1.ExchangeRequest{}
+		h.g.Report(again)
+		must.Len(t, 1, again.GetCrashes(), must.Sprint("a mark whose report was lost is gone"))
+
+		h.view.Quarantined = map[string]time.Time{string(req.GetCrashes()[0].GetFingerprint()): time.Now().Add(time.Hour)}
+		h.view.Confirmed = time.Now()
+		before := len(h.sent)
+		_, err := h.ask("unsafe", nil)
+		must.Eq(t, fault.KindQuarantined, fault.KindOf(err))
+		must.Eq(t, before, len(h.sent))
+	})
+}
+
+// A request for an adapter that no engine holds must wait for its load and go to
+// the engine that has it; an engine that lacks it must be named to the leader.
+func TestAdapterOnDemand(t *testing.T) {
+	start(t, func(h *host) {
+		h.answer = func(n int, c Call) reply {
+			if n == 0 {
+				return reply{status: 421, misdirected: true}
+			}
+			return reply{status: 200, body: &body{pieces: []string{event("1")}}}
+		}
+		other := residency.Ref{Model: "m", Adapter: "a2"}
+		var asked []residency.Request
+		h.acquire = func(r residency.Request) (exchange.Acquired, error) {
+			asked = append(asked, r)
+			h.view.Servers["llm2"].Held[other] = exchange.Held{Version: 1, ReadyAt: time.Now().Add(200 * time.Millisecond)}
+			return exchange.Acquired{Instance: "llm2"}, nil
+		}
+		began := time.Now()
+		c, err := h.ask("stream", func(r *Request) { r.Weights = other })
+		must.NoError(t, err)
+		must.Eq(t, event("1"), c.String())
+		must.Eq(t, []string{"llm2", "llm2"}, h.instances())
+		must.GreaterEq(t, 400*time.Millisecond, time.Since(began))
+		must.Len(t, 2, asked)
+		must.Eq(t, []string{"llm2"}, asked[1].Missing)
+	})
+}
+
+// Where no engine can take an adapter, the caller must be told so at once.
+func TestNoPlaceForAdapter(t *testing.T) {
+	start(t, func(h *host) {
+		h.acquire = func(residency.Request) (exchange.Acquired, error) {
+			return exchange.Acquired{}, fault.New(fault.KindNoBackend, "no", "again").WithRun(fault.NotRun).After(time.Second)
+		}
+		began := time.Now()
+		_, err := h.ask("stream", func(r *Request) { r.Weights.Adapter = "a9" })
+		must.Eq(t, fault.NotRun, runOf(t, err))
+		must.Eq(t, 0, time.Since(began))
+		must.SliceEmpty(t, h.sent)
+	})
+}
+
+// After a newer version was named, an engine with the older one must not answer.
+func TestNewestVersion(t *testing.T) {
+	start(t, func(h *host) {
+		h.view.Newest = map[residency.Ref]exchange.Newest{adapter: {Version: 2, Since: time.Now().Add(-time.Minute)}}
+		h.view.Servers["llm3"].Held[adapter] = exchange.Held{Version: 2, ReadyAt: time.Now()}
+		h.answer = func(int, Call) reply { return reply{status: 200, body: &body{pieces: []string{event("1")}}} }
+		_, err := h.ask("stream", nil)
+		must.NoError(t, err)
+		must.Eq(t, []string{"llm3"}, h.instances())
+		must.Eq(t, 2, h.sent[0].call.Version)
+	})
+}
+
+// Requests must spread over the servers, and a server that cannot be reached must
+// not be tried by each of them.
+func TestAvoidsUnreachable(t *testing.T) {
+	start(t, func(h *host) {
+		h.answer = func(_ int, c Call) reply {
+			if c.Instance == "plain1" {
+				return reply{err: h1.NewError(false, true, errReset)}
+			}
+			return reply{status: 200, after: 10 * time.Millisecond}
+		}
+		for range 30 {
+			_, err := h.ask("unsafe", func(r *Request) { r.PromptTokens = 0 })
+			must.NoError(t, err)
+			time.Sleep(20 * time.Millisecond)
+		}
+		tried := 0
+		for _, s := range h.sent {
+			if s.instance == "plain1" {
+				tried++
+			}
+		}
+		must.LessEq(t, 3, tried)
+	})
+}
+
+// Counts that are not returned on one way out would make a server look busy for
+// ever.
+func TestCountsAreReturned(t *testing.T) {
+	start(t, func(h *host) {
+		replies := []reply{
+			{status: 200}, {status: 500}, {status: 503, notRun: true}, {err: h1.NewError(true, false, errReset)},
+			{err: h1.NewError(false, false, errReset)}, {status: 421, misdirected: true},
+			{status: 200, body: &body{pieces: []string{event("1")}, end: errReset}}, {after: time.Hour},
+		}
+		h.acquire = func(residency.Request) (exchange.Acquired, error) {
+			return exchange.Acquired{}, fault.New(fault.KindNoBackend, "no", "again").WithRun(fault.NotRun)
+		}
+		h.answer = func(n int, _ Call) reply { return replies[n%len(replies)] }
+		now := time.Now()
+		h.rates.Apply([]share.Part{{Team: "red", PerSecond: 1e9, Burst: 1e9, Fraction: 1, Valid: time.Hour}}, now, now)
+		for range 40 {
+			for _, name := range []string{"safe", "unsafe", "stream", "once"} {
+				h.view.Confirmed = time.Now()
+				_, _ = h.ask(name, nil)
+			}
+		}
+		h.g.use.mu.Lock()
+		defer h.g.use.mu.Unlock()
+		for instance, s := range h.g.use.servers {
+			must.Zero(t, s.inFlight, must.Sprint(instance))
+			must.Zero(t, s.pending, must.Sprint(instance))
+			must.MapEmpty(t, s.adapters, must.Sprint(instance))
+		}
+		must.Zero(t, h.g.Running())
+	})
+}
--- /dev/null
+++ b/internal/group/group_test.go
@@ -0,0 +1,283 @@
+package group
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/replica"
+	"github.com/jasminesaddle/jasminesaddle/internal/state"
+	"github.com/jasminesaddle/jasminesaddle/internal/storage"
+)
+
+// network is control hosts that reach each other in memory.
+type network struct {
+	t     *testing.T
+	root  string
+	seeds []string
+
+	mu    sync.Mutex
+	hosts map[string]*controlHost
+	cut   map[string]bool
+}
+
+type controlHost struct {
+	*Group
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+func (n *network) up(address string) *controlHost {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut[address] {
+		return nil
+	}
+	return n.hosts[address]
+}
+
+// link is one host's way to the others.
+type link struct {
+	n    *network
+	from string
+}
+
+func (l link) Send(to *apiv1.Member, req *apiv1.StepRequest) {
+	go func() {
+		time.Sleep(time.Millisecond)
+		if h := l.n.up(to.GetAddress()); h != nil && l.n.up(l.from) != nil {
+			_ = h.Step(context.Background(), req)
+		}
+	}()
+}
+
+func (l link) Join(_ context.Context, address string, req *apiv1.JoinRequest) (*apiv1.JoinResponse, error) {
+	time.Sleep(time.Millisecond)
+	h := l.n.up(address)
+	if h == nil || l.n.up(l.from) == nil {
+		return nil, errors.New("unreachable")
+	}
+	return h.Group.Join(req), nil
+}
+
+func newNetwork(t *testing.T) *network {
+	return &network{
+		t: t, root: t.TempDir(), hosts: map[string]*controlHost{}, cut: map[string]bool{}, seeds: []string{"a", "b", "c"},
+	}
+}
+
+func (n *network) start(address string, first bool) {
+	ctx, stop := context.WithCancel(context.Background())
+	l := link{n, address}
+	h := &controlHost{stop: stop, done: make(chan struct{})}
+	h.Group = New(Options{
+		Cluster: "x", Self: &apiv1.Member{Host: address, Address: address}, Seeds: n.seeds, FirstStart: first,
+		DataDir: filepath.Join(n.root, address), Losses: 2, NewMachine: func() replica.Machine { return state.New() },
+		Transport: l, Joiner: l, Logger: zerolog.Nop(), Now: time.Now,
+	})
+	n.mu.Lock()
+	n.hosts[address] = h
+	n.mu.Unlock()
+	go func() {
+		defer close(h.done)
+		_ = h.Run(ctx)
+	}()
+}
+
+func (n *network) kill(address string) {
+	n.mu.Lock()
+	h := n.hosts[address]
+	delete(n.hosts, address)
+	n.mu.Unlock()
+	h.stop()
+	<-h.done
+}
+
+func (n *network) wipe(address string) {
+	must.NoError(n.t, os.RemoveAll(filepath.Join(n.root, address)))
+}
+
+// leader waits for a leader with the number of voters.
+func (n *network) leader(voters int) *controlHost {
+	n.t.Helper()
+	for range 300 {
+		n.mu.Lock()
+		hosts := maps.Clone(n.hosts)
+		n.mu.Unlock()
+		for _, address := range slices.Sorted(maps.Keys(hosts)) {
+			h := hosts[address]
+			if n.up(address) == nil || !h.Lease().Held {
+				continue
+			}
+			have := 0
+			for _, m := range h.Status().Members {
+				if m.GetVoter() {
+					have++
+				}
+			}
+			if have == voters && len(h.Status().Members) == voters {
+				return h
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	n.t.Fatalf("no leader with %d voters", voters)
+	return nil
+}
+
+func (n *network) put(h *controlHost, revision uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err := h.Propose(ctx, &apiv1.Command{Command: &apiv1.Command_PutDocument{
+		PutDocument: &apiv1.PutDocument{Revision: revision, Content: []byte(fmt.Sprint(revision))}}})
+	return err
+}
+
+func (n *network) mustHold(h *controlHost, revision uint64) {
+	n.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	must.NoError(n.t, h.Barrier(ctx))
+	must.Eq(n.t, revision, h.Machine().(*state.Machine).Document().GetRevision())
+}
+
+// play runs a test on five control hosts of which three are seeds.
+func play(t *testing.T, test func(n *network)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		for _, address := range []string{"d", "b", "e", "a", "c"} {
+			n.start(address, true)
+			time.Sleep(50 * time.Millisecond)
+		}
+		test(n)
+		for address := range maps.Clone(n.hosts) {
+			n.kill(address)
+		}
+		synctest.Wait()
+	})
+}
+
+// Three seeds that are told of no other host must form one group of all five
+// without an operator.
+func TestForms(t *testing.T) {
+	play(t, func(n *network) {
+		h := n.leader(5)
+		must.NoError(n.t, n.put(h, 1))
+		n.mustHold(h, 1)
+	})
+}
+
+// Hosts that lose their disks must not vote as before, must be replaced by
+// themselves under their new identity, and what was acknowledged must stay; again
+// after the repair.
+func TestTwoDisksLostTwice(t *testing.T) {
+	play(t, func(n *network) {
+		revision := uint64(1)
+		for _, lost := range [][]string{{"a", "d"}, {"b", "c"}} {
+			h := n.leader(5)
+			must.NoError(n.t, n.put(h, revision))
+			for _, address := range lost {
+				n.kill(address)
+				n.wipe(address)
+			}
+			for _, address := range lost {
+				n.start(address, false)
+			}
+			n.mustHold(n.leader(5), revision)
+			time.Sleep(4 * time.Second)
+			revision++
+		}
+	})
+}
+
+// A host that never comes back must give its place to one at another address.
+func TestReplaced(t *testing.T) {
+	play(t, func(n *network) {
+		must.NoError(n.t, n.put(n.leader(5), 3))
+		n.kill("b")
+		time.Sleep(time.Second)
+		n.start("f", false)
+		time.Sleep(4 * time.Second)
+		h := n.leader(5)
+		n.mustHold(h, 3)
+		for _, m := range h.Status().Members {
+			must.NotEq(n.t, "b", m.GetAddress())
+		}
+		n.kill("c")
+		n.kill("d")
+		n.mustHold(n.leader(5), 3)
+	})
+}
+
+// When all hosts stop and start again at once, nothing that was acknowledged may
+// be gone, and the group must not form a second time.
+func TestAllRestart(t *testing.T) {
+	play(t, func(n *network) {
+		must.NoError(n.t, n.put(n.leader(5), 9))
+		for _, address := range []string{"a", "b", "c", "d", "e"} {
+			n.kill(address)
+		}
+		for _, address := range []string{"e", "c", "a", "d", "b"} {
+			n.start(address, false)
+		}
+		n.mustHold(n.leader(5), 9)
+	})
+}
+
+// A seed that comes back empty while the others are unreachable must not form a
+// group of its own.
+func TestEmptySeedsDoNotForm(t *testing.T) {
+	play(t, func(n *network) {
+		must.NoError(n.t, n.put(n.leader(5), 2))
+		for _, address := range []string{"a", "b", "c", "d", "e"} {
+			n.kill(address)
+		}
+		for _, address := range []string{"a", "b", "c"} {
+			n.wipe(address)
+			n.start(address, false)
+		}
+		time.Sleep(10 * time.Second)
+		for _, address := range []string{"a", "b", "c"} {
+			must.Eq(n.t, "joining", n.up(address).Status().Stage)
+		}
+	})
+}
+
+// A disk that fails must not end the host for good: it goes on from what the disk
+// holds once it can be written again, and one that is damaged is emptied.
+func TestDiskFails(t *testing.T) {
+	play(t, func(n *network) {
+		must.NoError(n.t, n.put(n.leader(5), 4))
+		n.kill("d")
+		dir := filepath.Join(n.root, "d")
+		must.NoError(n.t, os.Rename(dir, dir+".away"))
+		must.NoError(n.t, os.WriteFile(dir, nil, 0o600))
+		n.start("d", false)
+		time.Sleep(2 * time.Second)
+		must.Eq(n.t, "disk_failed", n.up("d").Status().Stage)
+		must.NoError(n.t, os.Remove(dir))
+		must.NoError(n.t, os.Rename(dir+".away", dir))
+		time.Sleep(2 * time.Second)
+		must.Eq(n.t, "running", n.up("d").Status().Stage)
+
+		n.kill("d")
+		must.NoError(n.t, os.WriteFile(filepath.Join(dir, storage.FileName), []byte("damaged, and longer than a header"), 0o600))
+		n.start("d", false)
+		time.Sleep(4 * time.Second)
+		n.mustHold(n.leader(5), 4)
+		must.Eq(n.t, "running", n.up("d").Status().Stage)
+	})
+}
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -224,13 +224,14 @@
 		n, err := r.conn.Write(append(head, req.Body...))
 		return n > 0, err
 	}
-	r.written = make(chan error, 1)
+	written, c := make(chan error, 1), r.conn
+	r.written = written
 	go func() {
-		_, err := r.conn.Write(head)
+		_, err := c.Write(head)
 		if err == nil {
-			_, err = r.conn.Write(req.Body)
+			_, err = c.Write(req.Body)
 		}
-		r.written <- err
+		written <- err
 	}()
 	return true, nil
 }
@@ -263,7 +264,7 @@
 	if ctx.Err() != nil {
 		err = errors.CombineErrors(context.Cause(ctx), err)
 	}
-	return &Error{Sent: sent, Timeout: timeout, cause: err}
+	return NewError(sent, timeout, err)
 }
 
 // SetReadDeadline bounds the wait for the next bytes of the body.
@@ -323,3 +324,8 @@
 
 // Busy tells whether all connections to the server were in use.
 func (e *Error) Busy() bool { return errors.Is(e.cause, errLimit) }
+
+// NewError returns the error of an exchange that failed for the cause.
+func NewError(sent, timeout bool, cause error) *Error {
+	return &Error{Sent: sent, Timeout: timeout, cause: cause}
+}
--- /dev/null
+++ b/internal/h1/h1_test.go
@@ -0,0 +1,288 @@
+package h1
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+)
+
+// script answers the requests on each connection in turn.
+type script func(t *testing.T, c net.Conn, r *bufio.Reader)
+
+// run plays exchanges with a server whose connections follow the scripts.
+func run(t *testing.T, scripts []script, test func(p *Pool, dials *int)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		dials := 0
+		p := NewPool(Options{Echo: "Id", Dial: func(context.Context, string, string) (net.Conn, error) {
+			if dials >= len(scripts) {
+				return nil, errors.New("connection refused")
+			}
+			ours, theirs := net.Pipe()
+			s := scripts[dials]
+			dials++
+			go func() {
+				defer theirs.Close()
+				s(t, theirs, bufio.NewReader(theirs))
+			}()
+			return ours, nil
+		}})
+		test(p, &dials)
+		p.Forget("s")
+		synctest.Wait()
+	})
+}
+
+func readRequest(t *testing.T, r *bufio.Reader) (*http.Request, string) {
+	t.Helper()
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil, ""
+	}
+	body, _ := io.ReadAll(req.Body)
+	return req, string(body)
+}
+
+func send(c net.Conn, text string) { _, _ = io.WriteString(c, strings.ReplaceAll(text, "\n", "\r\n")) }
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\nId: %s\nContent-Length: %d\n\n%s", id, len(body), body)
+}
+
+// do sends a request and reads the whole answer.
+func do(p *Pool, id, body string) (string, error) {
+	resp, err := p.Do(context.Background(), "s", &Request{Method: "POST", Target: "/x", Host: "h", Body: []byte(body), ID: id})
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close()
+	data, err := io.ReadAll(resp)
+	return string(data), err
+}
+
+func sent(t *testing.T, err error) bool {
+	t.Helper()
+	var e *Error
+	must.True(t, errors.As(err, &e), must.Sprint(err))
+	return e.Sent
+}
+
+// A connection that is used for one request only would cost a new one each time.
+func TestConnectionIsUsedAgain(t *testing.T) {
+	run(t, []script{func(t *testing.T, c net.Conn, r *bufio.Reader) {
+		for {
+			req, body := readRequest(t, r)
+			if req == nil {
+				return
+			}
+			send(c, answer(req.Header.Get("Id"), body))
+		}
+	}}, func(p *Pool, dials *int) {
+		for i := range 3 {
+			resp, err := p.Do(context.Background(), "s", &Request{
+				Method: "POST", Target: "/x", Host: "h", Body: []byte("b"), ID: fmt.Sprint(i), Fields: []Field{{"Id", fmt.Sprint(i)}},
+			})
+			must.NoError(t, err)
+			_, err = io.ReadAll(resp)
+			must.NoError(t, err)
+			must.NoError(t, resp.Close())
+		}
+		must.Eq(t, 1, *dials)
+	})
+}
+
+// A late second answer stands where the next answer is due. It must not be given
+// to the next request, which still gets its own.
+func TestLateAnswerIsSkipped(t *testing.T) {
+	run(t, []script{func(t *testing.T, c net.Conn, r *bufio.Reader) {
+		readRequest(t, r)
+		send(c, answer("1", "one"))
+		readRequest(t, r)
+		send(c, answer("1", "late")+answer("2", "two"))
+		_, _ = r.ReadByte()
+	}}, func(p *Pool, dials *int) {
+		got, err := do(p, "1", "")
+		must.NoError(t, err)
+		must.Eq(t, "one", got)
+		got, err = do(p, "2", "")
+		must.NoError(t, err)
+		must.Eq(t, "two", got)
+		_, err = do(p, "3", "")
+		must.False(t, sent(t, err), must.Sprint("a connection with an odd answer was used again"))
+	})
+}
+
+// An answer that names another request, or none, must not reach the caller.
+func TestMismatch(t *testing.T) {
+	for name, text := range map[string]string{
+		"other": answer("9", "x") + answer("8", "x"),
+		"none":  "HTTP/1.1 200 OK\nContent-Length: 1\n\nx",
+		"bytes": "garbage\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, []script{func(t *testing.T, c net.Conn, r *bufio.Reader) {
+				readRequest(t, r)
+				send(c, text)
+			}}, func(p *Pool, _ *int) {
+				_, err := do(p, "1", "")
+				must.True(t, sent(t, err))
+			})
+		})
+	}
+}
+
+// An answer that ends early must not look complete, and one without a length
+// that ends with its connection is.
+func TestFraming(t *testing.T) {
+	for name, tc := range map[string]struct {
+		text  string
+		whole bool
+	}{
+		"short":         {"HTTP/1.1 200 OK\nId: 1\nContent-Length: 9\n\nab", false},
+		"chunks cut":    {"HTTP/1.1 200 OK\nId: 1\nTransfer-Encoding: chunked\n\n2\nab\n", false},
+		"without frame": {"HTTP/1.1 200 OK\nId: 1\n\nab", true},
+		"chunks":        {"HTTP/1.1 200 OK\nId: 1\nTransfer-Encoding: chunked\n\n2\nab\n0\n\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, []script{func(t *testing.T, c net.Conn, r *bufio.Reader) {
+				readRequest(t, r)
+				send(c, tc.text)
+			}}, func(p *Pool, _ *int) {
+				got, err := do(p, "1", "")
+				must.Eq(t, tc.whole, err == nil, must.Sprint(err))
+				if tc.whole {
+					must.Eq(t, "ab", got)
+				}
+			})
+		})
+	}
+}
+
+// Bytes after a complete answer belong to no request; the next request must go
+// out on another connection.
+func TestExtraBytes(t *testing.T) {
+	var second bool
+	run(t, []script{
+		func(t *testing.T, c net.Conn, r *bufio.Reader) {
+			readRequest(t, r)
+			send(c, answer("1", "one")+"extra")
+			if req, _ := readRequest(t, r); req != nil {
+				second = true
+			}
+		},
+		func(t *testing.T, c net.Conn, r *bufio.Reader) {
+			readRequest(t, r)
+			send(c, answer("2", "two"))
+		},
+	}, func(p *Pool, dials *int) {
+		_, err := do(p, "1", "")
+		must.NoError(t, err)
+		got, err := do(p, "2", "")
+		must.NoError(t, err)
+		must.Eq(t, "two", got)
+		must.Eq(t, 2, *dials)
+	})
+	must.False(t, second)
+}
+
+// Whether a byte may have reached the server decides what the caller is told.
+func TestSent(t *testing.T) {
+	run(t, nil, func(p *Pool, _ *int) {
+		_, err := do(p, "1", "")
+		must.False(t, sent(t, err))
+	})
+	run(t, []script{func(t *testing.T, c net.Conn, r *bufio.Reader) { readRequest(t, r) }}, func(p *Pool, dials *int) {
+		_, err := do(p, "1", "")
+		must.True(t, sent(t, err))
+		must.Eq(t, 1, *dials, must.Sprint("the request was sent again"))
+	})
+	run(t, []script{func(t *testing.T, c net.Conn, r *bufio.Reader) {
+		readRequest(t, r)
+		_, _ = r.ReadByte()
+	}}, func(p *Pool, _ *int) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := p.Do(ctx, "s", &Request{Method: "GET", Target: "/", Host: "h", ID: "1"})
+		must.True(t, sent(t, err))
+		var e *Error
+		must.True(t, errors.As(err, &e))
+		must.True(t, e.Timeout)
+	})
+}
+
+// A server that answers before it has read a long body must still get that body
+// and nothing else where it is due.
+func TestEarlyAnswerToLongBody(t *testing.T) {
+	long := strings.Repeat("x", 4*asyncBody)
+	run(t, []script{func(t *testing.T, c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		must.NoError(t, err)
+		go send(c, "HTTP/1.1 413 Too Large\nId: 1\nContent-Length: 0\n\n")
+		body, err := io.ReadAll(req.Body)
+		if err == nil {
+			must.Eq(t, long, string(body))
+		}
+	}}, func(p *Pool, _ *int) {
+		resp, err := p.Do(context.Background(), "s", &Request{Method: "POST", Target: "/", Host: "h", ID: "1", Body: []byte(long)})
+		must.NoError(t, err)
+		must.Eq(t, 413, resp.Status)
+		must.NoError(t, resp.Close())
+	})
+}
+
+// Idle connections must be given up before the server closes them, and the bound
+// on connections must hold.
+func TestIdleAndLimit(t *testing.T) {
+	serve := func(t *testing.T, c net.Conn, r *bufio.Reader) {
+		for {
+			req, _ := readRequest(t, r)
+			if req == nil {
+				return
+			}
+			send(c, "HTTP/1.1 200 OK\nKeep-Alive: timeout=3\nContent-Length: 0\n\n")
+		}
+	}
+	run(t, []script{serve, serve, serve}, func(p *Pool, dials *int) {
+		p.SetLimit("s", 1)
+		get := func(maxIdle time.Duration) (*Response, error) {
+			return p.Do(context.Background(), "s", &Request{Method: "GET", Target: "/", Host: "h", MaxIdle: maxIdle})
+		}
+		first, err := get(0)
+		must.NoError(t, err)
+		_, err = get(0)
+		var e *Error
+		must.True(t, errors.As(err, &e))
+		must.True(t, e.Busy())
+		must.False(t, e.Sent)
+		_, _ = io.ReadAll(first)
+		must.NoError(t, first.Close())
+		time.Sleep(time.Second)
+		again, err := get(0)
+		must.NoError(t, err)
+		must.Eq(t, 1, *dials)
+		_, _ = io.ReadAll(again)
+		must.NoError(t, again.Close())
+		time.Sleep(time.Second)
+		fresh, err := get(500 * time.Millisecond)
+		must.NoError(t, err)
+		must.Eq(t, 2, *dials, must.Sprint("a connection older than allowed was used"))
+		_, _ = io.ReadAll(fresh)
+		must.NoError(t, fresh.Close())
+		time.Sleep(2500 * time.Millisecond)
+		last, err := get(0)
+		must.NoError(t, err)
+		must.Eq(t, 3, *dials, must.Sprint("a connection about to be closed was used"))
+		_, _ = io.ReadAll(last)
+		must.NoError(t, last.Close())
+	})
+}
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -79,7 +79,7 @@
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
 	c, err := p.take(ctx, address, r.MaxIdle)
 	if err != nil {
-		return nil, &Error{Timeout: errors.Is(err, context.DeadlineExceeded), cause: err}
+		return nil, NewError(false, errors.Is(err, context.DeadlineExceeded), err)
 	}
 	resp, err := c.exchange(ctx, r, p.opts.Echo)
 	if err != nil {
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -305,7 +305,7 @@
 	switch {
 	case r.boot.first != nil:
 		s.Stage, s.Detail = "confirming", "waiting until all first members have saved the first member set"
-	case !slices.ContainsFunc(r.opts.Bootstrap, func(m *apiv1.Member) bool { return m.GetHost() == r.self.GetHost() }):
+	case r.opts.JoinOnly, !slices.ContainsFunc(r.opts.Bootstrap, func(m *apiv1.Member) bool { return m.GetHost() == r.self.GetHost() }):
 		s.Stage, s.Detail = "joining", "waiting to be added as a member"
 	}
 	if r.boot.refused != "" {
