--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -235,8 +235,8 @@
 }
 
 // noPlaceRetry is when a place is likely to be free: requests run for about half
-// a second, so that some adapter is out of use by then.
-const noPlaceRetry = 200 * time.Millisecond
+// a second, and the weight store works off its queue meanwhile.
+const noPlaceRetry = 700 * time.Millisecond
 
 // Join takes the offer of a control host.
 func (c *Coordinator) Join(_ context.Context, req *apiv1.JoinRequest) (*apiv1.JoinResponse, error) {
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -21,7 +21,7 @@
 	// listTimeout bounds one read of the list, and reportTimeout one of an
 	// engine's report.
 	listTimeout   = time.Second
-	reportTimeout = time.Second
+	reportTimeout = 300 * time.Millisecond
 	// hostSilent is how long a host's last report counts.
 	hostSilent = 2 * time.Second
 	// quarantineDuration is how long a fingerprint stays quarantined.
@@ -183,6 +183,7 @@
 		if l.ctx.Err() == nil {
 			l.log.Warn().Err(err).Str("event", "report_not_read").Str("engine", instance).Msg("engine gets no orders until its report is read")
 		}
+		l.table.Unanswered(instance, now)
 		// The next try waits as long as one report may take.
 		time.AfterFunc(reportTimeout, func() { l.reported(instance) })
 		return
--- a/internal/exchange/acquire.go
+++ b/internal/exchange/acquire.go
@@ -13,8 +13,9 @@
 // acquireTimeout bounds one call; the leader answers once its order is answered.
 const acquireTimeout = 700 * time.Millisecond
 
-// leaderRetry is when another leader is likely to stand.
-const leaderRetry = 800 * time.Millisecond
+// leaderRetry is when another leader is likely to stand: after the time-out of an
+// election and the election itself.
+const leaderRetry = 1500 * time.Millisecond
 
 type acquireKey struct {
 	service string
@@ -59,7 +60,7 @@
 			"send the request again").WithRun(fault.NotRun).After(leaderRetry)
 	}
 	if a.resp.GetInstance() == "" {
-		return Acquired{}, fault.Newf(fault.KindNoBackend, "send the request again",
+		return Acquired{}, fault.Newf(fault.KindOverloaded, "send the request again",
 			"no engine can take %s now: %s", r.Ref, a.resp.GetReason()).WithRun(fault.NotRun).
 			After(time.Duration(a.resp.GetRetryAfterMs()) * time.Millisecond)
 	}
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -23,9 +23,9 @@
 	// tryTimeout bounds one call. A leader answers within a few ms; a silent one
 	// must not cost more than an election does.
 	tryTimeout = 400 * time.Millisecond
-	// urgentGap is the least time between two exchanges, so that a team without
-	// tokens does not make the host ask all the time.
-	urgentGap = 15 * time.Millisecond
+	// urgentGap is the least time between two exchanges, so that a team beyond its
+	// rate does not make the host ask all the time.
+	urgentGap = 100 * time.Millisecond
 	// retryGap is the time between two rounds over the control hosts when none leads.
 	retryGap = 100 * time.Millisecond
 	// listAfter is how old a view is when the host reads the platform's list
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -95,6 +95,8 @@
 
 func (h *host) View() *exchange.View { return h.view }
 
+func (h *host) Hurry() {}
+
 func (h *host) Acquire(_ context.Context, r residency.Request) (exchange.Acquired, error) {
 	return h.acquire(r)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,8 @@
 type Fleet interface {
 	View() *exchange.View
 	Acquire(ctx context.Context, r residency.Request) (exchange.Acquired, error)
+	// Hurry asks for an exchange with the leader soon.
+	Hurry()
 }
 
 // Options configures a Gateway.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -223,8 +223,12 @@
 	return least < d.Wait-coldLoad
 }
 
-// maxLoads bounds how often one request asks for a load.
-const maxLoads = 4
+const (
+	// maxLoads bounds how often one request asks for a load.
+	maxLoads = 4
+	// placePause is the time between two questions for a place.
+	placePause = 120 * time.Millisecond
+)
 
 // acquire asks for an engine with the adapter. The answer is in the next view.
 func (f *flight) acquire(ctx context.Context, v *exchange.View, holders []string) error {
@@ -245,9 +249,9 @@
 	if err == nil {
 		return nil
 	}
-	if e, ok := fault.As(err); ok && e.RetryAfter > 0 && e.RetryAfter < f.patience(f.g.opts.Now()) {
-		// A place is free soon, and the request can still make its objective.
-		pause(ctx, e.RetryAfter)
+	if fault.Is(err, fault.KindOverloaded) && f.loads < maxLoads && f.patience(f.g.opts.Now()) > placePause {
+		// A place may be free soon, and the request can still make its objective.
+		pause(ctx, placePause)
 		return nil
 	}
 	return err
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -21,6 +21,8 @@
 	answerMargin = 15 * time.Millisecond
 	// tokenPatience bounds the wait for tokens of the host's part.
 	tokenPatience = 150 * time.Millisecond
+	// tokenPause is the time between two looks for tokens.
+	tokenPause = 40 * time.Millisecond
 )
 
 // flight is one request that is being served.
@@ -65,10 +67,22 @@
 	if err != nil && f.ran > 0 {
 		err = mayHaveRun(err)
 	}
+	g.spread(err)
 	f.finish(ctx, err)
 	return err
 }
 
+// spread varies the time after which a refused caller is to come back, so that
+// those who were refused together do not come back together.
+func (g *Gateway) spread(err error) {
+	if e, ok := fault.As(err); ok && e.RetryAfter > 0 {
+		e.RetryAfter = time.Duration(float64(e.RetryAfter) * (1 - spreadPart/2 + spreadPart*g.random()))
+	}
+}
+
+// spreadPart is the width over which times to come back are spread, as a part.
+const spreadPart = 0.5
+
 // mayHaveRun keeps a refusal of a later attempt from hiding that an earlier one
 // may have run.
 func mayHaveRun(err error) error {
@@ -191,7 +205,10 @@
 			f.g.metrics.tokens.Observe(now.Sub(began))
 			return nil
 		}
-		if now.Add(retry).After(began.Add(tokenPatience)) || !pause(ctx, retry) {
+		// The leader may give this host a larger part.
+		f.g.opts.Fleet.Hurry()
+		retry = max(retry, tokenPause)
+		if now.Add(tokenPause).After(began.Add(tokenPatience)) || !pause(ctx, tokenPause) {
 			return fault.Newf(fault.KindRateLimited, "send the request later", "team %s is beyond its rate of %d/s with a burst of %d",
 				f.team.Name, f.team.Rate, f.team.Burst).WithRun(fault.NotRun).After(retry)
 		}
--- a/internal/residency/acquire.go
+++ b/internal/residency/acquire.go
@@ -149,7 +149,7 @@
 
 // mayLoad tells whether the engine has or can make a place for the adapter.
 func (t *Table) mayLoad(e *Engine, ref Ref, now time.Time) bool {
-	if !e.open || now.Before(e.notBefore) {
+	if !e.open || !e.sequenceKnown || now.Before(e.notBefore) {
 		return false
 	}
 	if h := e.held[ref]; h != nil {
--- a/internal/residency/order.go
+++ b/internal/residency/order.go
@@ -100,12 +100,16 @@
 	if out != Conflict {
 		e.conflicts = 0
 	}
+	if out != Unknown {
+		e.unanswered = 0
+	}
 	switch out {
 	case Accepted, Done:
 		t.carriedOut(e, o, out, now)
 	case Unknown:
 		// The order may be carried out late, while the sequence is the same. The
 		// next order is accepted before that, or it conflicts.
+		t.rest(e, now)
 	case Conflict:
 		// An engine is busy while an unload waits for its runs, while a model
 		// loads, and with too many adapters on their way.
--- a/internal/residency/residency_test.go
+++ b/internal/residency/residency_test.go
@@ -257,3 +257,31 @@
 	got := table.Replicas(service, now)
 	must.SliceContainsFunc(t, got, hot, func(w Wanted, r Ref) bool { return w.Ref == r })
 }
+
+// An engine that answers nothing must not be chosen for load after load, although
+// it looks idle.
+func TestSilentEngineIsLeftAlone(t *testing.T) {
+	_, table, _ := play(t, 4, 0, 0, 1)
+	now := time.Unix(5000, 0)
+	chosen := 0
+	for i := range 200 {
+		now = now.Add(20 * time.Millisecond)
+		ref := Ref{model, fmt.Sprint("b", i)}
+		choice := table.Acquire(Request{Service: service, Ref: ref}, now)
+		if choice.Instance == "" {
+			continue
+		}
+		o, verdict := table.Next(choice.Instance, ref, now)
+		if verdict != Send {
+			continue
+		}
+		if choice.Instance == "e0" {
+			chosen++
+			table.Answered(o, Unknown, now.Add(80*time.Millisecond))
+			continue
+		}
+		table.Answered(o, Conflict, now)
+	}
+	must.Positive(t, chosen)
+	must.Less(t, 12, chosen)
+}
--- a/internal/residency/table.go
+++ b/internal/residency/table.go
@@ -122,8 +122,10 @@
 	// number of orders in a row that it did not take.
 	notBefore time.Time
 	conflicts int
-	held      map[Ref]*held
-	recent    []Ref // unloaded adapters, the oldest first
+	// unanswered counts the orders and reports in a row that got no answer.
+	unanswered int
+	held       map[Ref]*held
+	recent     []Ref // unloaded adapters, the oldest first
 	// dropped dates what was given up lately, which a lagging list still shows.
 	dropped  map[Ref]time.Time
 	inFlight int
@@ -287,7 +289,7 @@
 		e.held, e.dropped = map[Ref]*held{}, map[Ref]time.Time{}
 		t.touch(e)
 	}
-	e.sequence, e.sequenceKnown = r.Sequence, true
+	e.sequence, e.sequenceKnown, e.unanswered = r.Sequence, true, 0
 	if r.Busy {
 		e.notBefore = now.Add(reportedBusyPause)
 	}
@@ -423,3 +425,28 @@
 		e.recent = slices.Delete(e.recent, 0, n)
 	}
 }
+
+// Unanswered books that an engine did not answer a question for its report. The
+// list names a dead engine for some seconds more, and it would look idle.
+func (t *Table) Unanswered(instance string, now time.Time) {
+	if e := t.engines[instance]; e != nil {
+		t.rest(e, now)
+	}
+}
+
+const (
+	// restAfter is the number of orders or reports without an answer after which
+	// an engine is left alone, restFirst for how long at first and restMost at
+	// most. One order without an answer is nothing unusual.
+	restAfter = 2
+	restFirst = 200 * time.Millisecond
+	restMost  = 2 * time.Second
+)
+
+// rest leaves an engine alone that answers nothing.
+func (t *Table) rest(e *Engine, now time.Time) {
+	e.unanswered++
+	if n := e.unanswered - restAfter; n >= 0 {
+		e.notBefore = now.Add(min(restFirst<<min(n, 4), restMost))
+	}
+}
