Let a holder that comes back in time keep its engines

Change: the leader waits out the pause first and moves the engines then; a holder that answers before keeps them. The log records a holder only after the pause, so that no host has to date it.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -6,8 +6,8 @@
 //   - The leader's tables belong to one term and are dropped with it.
 //   - An order is decided only while the lease is held. It is given by the one
 //     control host that holds the engine, whoever leads.
-//   - A new holder gives no order sooner than OrderPause after the earlier one
-//     could give its last.
+//   - An engine gets another holder only when its holder has been told to give no
+//     order for OrderPause, and none is told of an order while that is recorded.
 //   - A catalog is acknowledged once it is committed, and read only after a
 //     majority has confirmed that this host leads.
 package coordinator
@@ -81,8 +81,6 @@
 	log     zerolog.Logger
 	metrics metrics
 
-	// seen dates the holders as this host learned of them.
-	seen   holderDates
 	memory memory
 
 	mu     sync.Mutex
@@ -92,7 +90,7 @@
 // New returns a coordinator. Run must run while it serves.
 func New(opts Options) *Coordinator {
 	return &Coordinator{
-		opts: opts, log: opts.Logger, metrics: newMetrics(opts.Meter), seen: holderDates{byInstance: map[string]holderDate{}},
+		opts: opts, log: opts.Logger, metrics: newMetrics(opts.Meter),
 		memory: memory{copies: map[string][]residency.Ref{}},
 	}
 }
@@ -109,7 +107,6 @@
 			case <-ctx.Done():
 				return nil
 			case <-ticker.C:
-				c.seen.update(c.machine().Holders(), c.opts.Now())
 				if l := c.follow(ctx, c.opts.Log.Lease()); l != nil {
 					l.tick(c.opts.Now())
 				}
--- a/internal/coordinator/holder.go
+++ b/internal/coordinator/holder.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
@@ -11,10 +10,6 @@
 )
 
 const (
-	// moveAfter is how long a holder has failed when its engines get another one.
-	// A move costs the pause between two holders, so that a host that restarts
-	// keeps its engines.
-	moveAfter = 1500 * time.Millisecond
 	// probeInterval is the time between two questions to a holder that failed.
 	probeInterval = 200 * time.Millisecond
 	// giveTime is how long an order may wait at its holder before it is given.
@@ -35,44 +30,15 @@
 	Execute(context.Context, *apiv1.ExecuteRequest) (*apiv1.ExecuteResponse, error)
 }
 
-// holderDates dates the holders of engines as this host learned of them, also
-// while it does not lead. It is safe for concurrent use.
-type holderDates struct {
-	mu         sync.Mutex
-	byInstance map[string]holderDate
-}
-
-type holderDate struct {
-	fence uint64
-	since time.Time
-}
-
-func (d *holderDates) update(holders []*apiv1.EngineHolder, now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, h := range holders {
-		if d.byInstance[h.GetInstance()].fence != h.GetFence() {
-			d.byInstance[h.GetInstance()] = holderDate{h.GetFence(), now}
-		}
-	}
-}
-
-// since returns when this host learned of the holder, or now.
-func (d *holderDates) since(h *apiv1.EngineHolder, now time.Time) time.Time {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if at := d.byInstance[h.GetInstance()]; at.fence == h.GetFence() {
-		return at.since
-	}
-	return now
-}
-
 // holding is what the leader knows of the holders. The leader's mutex guards it.
 type holding struct {
 	byInstance map[string]*apiv1.EngineHolder
 	hosts      map[string]*holderHost
 	unlisted   map[string]time.Time
 	proposing  bool
+	// moving holds the engines for which another holder is being recorded. They
+	// get no orders until that is known.
+	moving map[string]bool
 }
 
 // holderHost is a control host as a holder.
@@ -81,6 +47,9 @@
 	failing time.Time
 	probing bool
 	probed  time.Time
+	// told is the end of the time in which it may give the last order that it was
+	// told of.
+	told time.Time
 	// ahead is how much its clock is ahead of this host's.
 	ahead    time.Duration
 	hasClock bool
@@ -89,6 +58,7 @@
 func newHolding() *holding {
 	return &holding{
 		byInstance: map[string]*apiv1.EngineHolder{}, hosts: map[string]*holderHost{}, unlisted: map[string]time.Time{},
+		moving: map[string]bool{},
 	}
 }
 
@@ -103,20 +73,17 @@
 
 // holderOf returns the holder of an engine and whether it may be given an order.
 // The caller holds mu.
-func (l *leader) holderOf(instance string, now time.Time) (*apiv1.EngineHolder, bool) {
+func (l *leader) holderOf(instance string) (*apiv1.EngineHolder, bool) {
 	h := l.holding.byInstance[instance]
-	if h == nil || !l.holding.host(h.GetHolder()).failing.IsZero() {
-		return h, false
-	}
-	if !h.GetMoved() {
-		return h, true
-	}
-	return h, now.Sub(l.c.seen.since(h, now)) >= l.c.opts.OrderPause
+	return h, h != nil && !l.holding.moving[instance] && l.holding.host(h.GetHolder()).failing.IsZero()
 }
 
 // assignHolders gives each engine a holder, and another one to the engines of a
 // holder that has failed. The caller holds mu.
 func (l *leader) assignHolders(now time.Time) {
+	if l.holding.proposing {
+		return
+	}
 	clear(l.holding.byInstance)
 	for _, h := range l.c.machine().Holders() {
 		l.holding.byInstance[h.GetInstance()] = h
@@ -130,28 +97,32 @@
 	listed := map[string]bool{}
 	for _, e := range l.table.Engines() {
 		listed[e.Instance] = true
-		h, ready := l.holderOf(e.Instance, now)
+		h, ready := l.holderOf(e.Instance)
 		l.table.SetOpen(e.Instance, ready)
-		if h != nil && !l.holderLost(h.GetHolder(), now) {
+		if h != nil && !l.holding.moving[e.Instance] && !l.holderLost(h.GetHolder(), now) {
 			continue
 		}
-		if next := pickHolder(live, loads, e.Domain); next != "" && next != h.GetHolder() {
+		if next := pickHolder(live, loads, e.Domain); next != "" {
 			loads[next]++
 			changes = append(changes, &apiv1.EngineHolder{Instance: e.Instance, Holder: next})
 		}
 	}
 	changes = append(changes, l.unlistedHolders(listed, now)...)
-	if len(changes) == 0 || l.holding.proposing {
+	if len(changes) == 0 {
 		return
 	}
 	l.holding.proposing = true
+	for _, h := range changes {
+		l.holding.moving[h.GetInstance()] = true
+	}
 	go l.recordHolders(changes)
 }
 
-// holderLost tells whether a holder has failed for long enough to lose its engines.
+// holderLost tells whether a holder has been told of no order for the pause between
+// two holders, because it fails. A holder that answers before keeps its engines.
 func (l *leader) holderLost(address string, now time.Time) bool {
 	hh := l.holding.host(address)
-	return !hh.failing.IsZero() && now.Sub(hh.failing) >= moveAfter
+	return !hh.failing.IsZero() && min(now.Sub(hh.failing), now.Sub(hh.told)) >= l.c.opts.OrderPause
 }
 
 // liveHost is a control host that may hold engines.
@@ -247,11 +218,22 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.holding.proposing = false
+	if err != nil {
+		// The record may still come into force, so that the engines wait for the
+		// next one.
+		return
+	}
+	for _, h := range changes {
+		delete(l.holding.moving, h.GetInstance())
+	}
 }
 
 // execute has an order given by the engine's holder.
 func (l *leader) execute(ctx context.Context, h *apiv1.EngineHolder, o residency.Order) residency.Outcome {
 	if h.GetHolder() == l.c.opts.Self {
+		l.mu.Lock()
+		l.holding.host(h.GetHolder()).told = l.c.opts.Now().Add(orderTimeout)
+		l.mu.Unlock()
 		return l.c.give(ctx, o, h.GetFence())
 	}
 	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
@@ -259,6 +241,7 @@
 	l.mu.Lock()
 	hh := l.holding.host(h.GetHolder())
 	ahead, hasClock := hh.ahead, hh.hasClock
+	hh.told = l.c.opts.Now().Add(holderTimeout)
 	l.mu.Unlock()
 	if !hasClock {
 		l.probe(h.GetHolder())
--- a/internal/coordinator/job.go
+++ b/internal/coordinator/job.go
@@ -85,7 +85,7 @@
 	began := l.c.opts.Now()
 	outcome := residency.Conflict
 	l.mu.Lock()
-	h, ready := l.holderOf(o.Instance, began)
+	h, ready := l.holderOf(o.Instance)
 	l.mu.Unlock()
 	lease := l.c.opts.Log.Lease()
 	if ready && lease.Held && lease.Term == l.term {
--- a/internal/residency/acquire.go
+++ b/internal/residency/acquire.go
@@ -56,7 +56,7 @@
 	}
 	best := t.bestPlace(engines, r.Ref, now)
 	if best == nil {
-		return Choice{Reason: "no_place"}
+		return Choice{Reason: "no_place_" + t.commonRefusal(engines, r.Ref, now)}
 	}
 	// Until the hosts report it, the request counts as the engine's backlog.
 	best.pending += r.PromptTokens
@@ -148,21 +148,43 @@
 }
 
 // mayLoad tells whether the engine has or can make a place for the adapter.
-func (t *Table) mayLoad(e *Engine, ref Ref, now time.Time) bool {
-	if !e.open || !e.sequenceKnown || now.Before(e.notBefore) {
-		return false
+func (t *Table) mayLoad(e *Engine, ref Ref, now time.Time) bool { return t.refusal(e, ref, now) == "" }
+
+// refusal says why the engine cannot load the adapter now; empty when it can.
+func (t *Table) refusal(e *Engine, ref Ref, now time.Time) string {
+	if waits := t.Waits(e.Instance, now); waits != "" && waits != "order_on_its_way" {
+		return waits
 	}
 	if h := e.held[ref]; h != nil {
 		// Another version of it is replaced in its place.
-		return !h.unloading
+		if h.unloading {
+			return "unloading"
+		}
+		return ""
 	}
-	if t.transit(e, now) >= t.opts.Transit {
-		return false
+	switch {
+	case t.transit(e, now) >= t.opts.Transit:
+		return "engine_loads"
+	case !slices.Contains(e.recent, ref) && t.coldLoads(now) >= t.opts.Parallel:
+		return "store_loads"
+	case t.free(e) <= 0 && t.victim(e, now) == (Ref{}):
+		return "all_in_use"
 	}
-	if !slices.Contains(e.recent, ref) && t.coldLoads(now) >= t.opts.Parallel {
-		return false
+	return ""
+}
+
+// commonRefusal returns the reason that most engines have, for the log.
+func (t *Table) commonRefusal(engines []*Engine, ref Ref, now time.Time) string {
+	counts := map[string]int{}
+	best := ""
+	for _, e := range engines {
+		why := t.refusal(e, ref, now)
+		counts[why]++
+		if counts[why] > counts[best] || best == "" {
+			best = why
+		}
 	}
-	return t.free(e) > 0 || t.victim(e, now) != (Ref{})
+	return best
 }
 
 // transit counts the adapters on their way to the engine.
--- a/internal/state/holder.go
+++ b/internal/state/holder.go
@@ -26,7 +26,7 @@
 		case old.GetHolder() != next.GetHolder():
 			h.fence++
 			h.byInstance[next.GetInstance()] = &apiv1.EngineHolder{
-				Instance: next.GetInstance(), Holder: next.GetHolder(), Fence: h.fence, Moved: old != nil,
+				Instance: next.GetInstance(), Holder: next.GetHolder(), Fence: h.fence,
 			}
 		}
 	}
