--- /dev/null
+++ b/internal/coordinator/coordinator_test.go
@@ -0,0 +1,211 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/residency"
+)
+
+// mustHoldOne checks that the orders of two holders of an engine are apart, and
+// that no fencing number goes back.
+func mustHoldOne(t *testing.T, f *fleet) {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	last := map[string]given{}
+	for _, g := range f.orders {
+		before, ok := last[g.order.Instance]
+		if ok && before.holder != g.holder {
+			must.GreaterEq(t, orderPause, g.at.Sub(before.at), must.Sprint(before, g))
+			must.Greater(t, before.fence, g.fence)
+		}
+		must.GreaterEq(t, before.fence, g.fence)
+		last[g.order.Instance] = g
+	}
+}
+
+// An adapter that no engine holds must be loaded at once, by the holder of the
+// engine, and requests for it must share the load.
+func TestAcquire(t *testing.T) {
+	start(t, func(t *testing.T, c *Coordinator, _ *fakeLog, f *fleet) {
+		done := make(chan *apiv1.AcquireResponse)
+		for range 5 {
+			go func() { done <- acquire(c, "a1") }()
+		}
+		for range 5 {
+			resp := <-done
+			must.NotEq(t, "", resp.GetInstance(), must.Sprint(resp.GetReason()))
+			must.Positive(t, resp.GetReadyInMs())
+		}
+		must.Len(t, 1, f.orders)
+		for i := range 12 {
+			must.NotEq(t, "", acquire(c, fmt.Sprint("b", i)).GetInstance())
+			time.Sleep(50 * time.Millisecond)
+		}
+		holders := map[string]bool{}
+		for _, g := range f.orders {
+			holders[g.holder] = true
+		}
+		must.Greater(t, 1, len(holders), must.Sprint("one host gives all orders"))
+		mustHoldOne(t, f)
+	})
+}
+
+// A leader must not answer from tables of an earlier term, and a host that does
+// not lead must name the leader.
+func TestNotLeading(t *testing.T) {
+	start(t, func(t *testing.T, c *Coordinator, log *fakeLog, _ *fleet) {
+		log.set(func(l *fakeLog) { l.leading = false })
+		must.False(t, acquire(c, "a1").GetLeadership().GetLeading())
+		resp, err := c.Exchange(context.Background(), &apiv1.ExchangeRequest{Host: "h"})
+		must.NoError(t, err)
+		must.False(t, resp.GetLeadership().GetLeading())
+		must.Eq(t, "http://other", resp.GetLeadership().GetLeader())
+		must.Nil(t, resp.GetDocument())
+		_, err = c.Document(context.Background())
+		must.True(t, fault.Is(err, fault.KindNotLeader))
+		_, err = c.PutDocument(context.Background(), &apiv1.PutDocument{Revision: 9})
+		must.True(t, fault.Is(err, fault.KindNotLeader))
+	})
+}
+
+// After a change of the leader orders must go on at once, through the same
+// holders.
+func TestOrdersGoOnUnderNextLeader(t *testing.T) {
+	start(t, func(t *testing.T, c *Coordinator, log *fakeLog, f *fleet) {
+		must.NotEq(t, "", acquire(c, "a1").GetInstance())
+		log.set(func(l *fakeLog) { l.leading = false })
+		time.Sleep(200 * time.Millisecond)
+		log.set(func(l *fakeLog) { l.term, l.leading = 2, true })
+		time.Sleep(900 * time.Millisecond)
+		must.NotEq(t, "", acquire(c, "a2").GetInstance())
+		mustHoldOne(t, f)
+	})
+}
+
+// The engines of a holder that fails must get another one, but only when the
+// failed one can give no order any more, and not when it comes back before.
+func TestHolderFails(t *testing.T) {
+	for name, away := range map[string]time.Duration{"short": 2 * time.Second, "long": 10 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			start(t, func(t *testing.T, c *Coordinator, log *fakeLog, f *fleet) {
+				for i := range 20 {
+					acquire(c, fmt.Sprint("a", i))
+					time.Sleep(30 * time.Millisecond)
+				}
+				before := log.machine.Holders()
+				f.mu.Lock()
+				f.down["b"] = true
+				f.mu.Unlock()
+				for began := time.Now(); time.Since(began) < away; time.Sleep(30 * time.Millisecond) {
+					acquire(c, fmt.Sprint("c", time.Since(began)))
+				}
+				f.mu.Lock()
+				f.down["b"] = false
+				f.mu.Unlock()
+				for i := range 40 {
+					acquire(c, fmt.Sprint("d", i))
+					time.Sleep(30 * time.Millisecond)
+				}
+				mustHoldOne(t, f)
+				moved := 0
+				for i, h := range log.machine.Holders() {
+					if h.GetHolder() != before[i].GetHolder() {
+						must.Eq(t, "b", before[i].GetHolder())
+						moved++
+					}
+				}
+				if away > orderPause {
+					must.Positive(t, moved)
+				} else {
+					must.Zero(t, moved)
+				}
+			})
+		})
+	}
+}
+
+// An order that was held up on the way, for example with a frozen holder, or that
+// an earlier leader decided, must not be given.
+func TestExecuteRefuses(t *testing.T) {
+	start(t, func(t *testing.T, c *Coordinator, log *fakeLog, f *fleet) {
+		log.set(func(l *fakeLog) { l.term = 5 })
+		req := func(term uint64, before time.Duration) *apiv1.ExecuteRequest {
+			return &apiv1.ExecuteRequest{Term: term, BeforeNs: time.Now().Add(before).UnixNano(), Instance: "x", Model: "m", Adapter: "a"}
+		}
+		for _, r := range []*apiv1.ExecuteRequest{req(5, -time.Millisecond), req(4, time.Second), {Term: 5}} {
+			resp, err := c.Execute(context.Background(), r)
+			must.NoError(t, err)
+			must.False(t, resp.GetGiven())
+			must.Positive(t, resp.GetNowNs())
+		}
+		count := len(f.orders)
+		resp, err := c.Execute(context.Background(), req(5, time.Second))
+		must.NoError(t, err)
+		must.True(t, resp.GetGiven())
+		must.Eq(t, count+1, len(f.orders))
+	})
+}
+
+// A host gets what it lacks and no more, and the whole fleet under a new leader.
+func TestExchange(t *testing.T) {
+	start(t, func(t *testing.T, c *Coordinator, log *fakeLog, _ *fleet) {
+		first, err := c.Exchange(context.Background(), &apiv1.ExchangeRequest{Host: "h"})
+		must.NoError(t, err)
+		must.Eq(t, 3, first.GetDocument().GetRevision())
+		must.True(t, first.GetFleetFull())
+		must.Len(t, 4, first.GetServers())
+		next := &apiv1.ExchangeRequest{
+			Host: "h", Term: 1, HasDocument: true, DocumentRevision: 3, FleetEpoch: first.GetFleetEpoch(), VersionsEpoch: first.GetVersionsEpoch(),
+			Loads: []*apiv1.HostLoad{{Instance: "e1", InFlight: 3, PendingTokens: 500}},
+		}
+		second, err := c.Exchange(context.Background(), next)
+		must.NoError(t, err)
+		must.Nil(t, second.GetDocument())
+		must.SliceEmpty(t, second.GetServers())
+		must.SliceEmpty(t, second.GetLoads(), must.Sprint("a host got its own load as that of others"))
+		other, err := c.Exchange(context.Background(), &apiv1.ExchangeRequest{Host: "g"})
+		must.NoError(t, err)
+		must.Len(t, 1, other.GetLoads())
+		must.Eq(t, 500, other.GetLoads()[0].GetPendingTokens())
+
+		_, err = c.PutAdapterVersion(context.Background(), &apiv1.PutAdapterVersion{Model: "m", Adapter: "a1", Version: 2})
+		must.NoError(t, err)
+		_, err = c.PutDocument(context.Background(), &apiv1.PutDocument{Revision: 8})
+		must.NoError(t, err)
+		third, err := c.Exchange(context.Background(), next)
+		must.NoError(t, err)
+		must.Eq(t, 8, third.GetDocument().GetRevision())
+		must.Len(t, 1, third.GetVersions())
+
+		log.set(func(l *fakeLog) { l.term = 2 })
+		time.Sleep(time.Second)
+		fourth, err := c.Exchange(context.Background(), next)
+		must.NoError(t, err)
+		must.True(t, fourth.GetFleetFull())
+	})
+}
+
+// What an engine gave up must be known to the next leader, or it counts loads
+// from the engine's own copies as loads from the store.
+func TestMemory(t *testing.T) {
+	m := memory{copies: map[string][]residency.Ref{}}
+	ref := residency.Ref{Model: "m", Adapter: "a"}
+	m.note(residency.Order{Instance: "e", Ref: ref, Unload: true}, residency.Done)
+	must.Len(t, 1, m.all()[0].GetAdapters())
+	m.note(residency.Order{Instance: "e", Ref: ref}, residency.Conflict)
+	must.Len(t, 1, m.all()[0].GetAdapters())
+	m.note(residency.Order{Instance: "e", Ref: ref}, residency.Accepted)
+	must.Len(t, 0, m.all()[0].GetAdapters())
+	for i := range 3 * copiesKept {
+		m.note(residency.Order{Instance: "e", Ref: residency.Ref{Model: "m", Adapter: fmt.Sprint(i)}, Unload: true}, residency.Done)
+	}
+	must.Len(t, copiesKept, m.all()[0].GetAdapters())
+}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -193,7 +193,7 @@
 			}
 		}
 		h.g = New(Options{
-			Fleet: h, Rates: h.rates, Backend: h, Forget: func(string) {}, Repeats: retry.Options{Ratio: 1, Floor: 100, Saved: 100},
+			Fleet: h, Rates: h.rates, Backend: h, Forget: func(string) {}, Repeats: retry.Options{Ratio: 1, Floor: 400, Saved: 100},
 			Logger: zerolog.Nop(), Meter: meter.NewSet(""), Now: time.Now,
 		})
 		test(h)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,7 +34,8 @@
 	// Forget drops the connections to a server that went silent.
 	Forget  func(address string)
 	Balance balance.Options
-	// Repeats bounds the repeats to each service by this host.
+	// Repeats bounds the repeats to each service: the ratio holds for this host,
+	// and the floor is divided between all entry hosts.
 	Repeats retry.Options
 	// Seed seeds the choice between the services of a split route.
 	Seed   uint64
@@ -71,6 +72,9 @@
 // slowness of each engine is measured against it.
 const defaultTokensPerMS = 30
 
+// unknownHosts is the number of entry hosts that is assumed until it is known.
+const unknownHosts = 4
+
 // SetFleet sets the host's view of the fleet. It is called before the first request.
 func (g *Gateway) SetFleet(f Fleet) { g.opts.Fleet = f }
 
@@ -102,6 +106,7 @@
 		b = retry.NewBudget(g.opts.Repeats)
 		g.budgets[service] = b
 	}
+	b.SetFloor(g.opts.Repeats.Floor / float64(max(g.opts.Fleet.View().Hosts, unknownHosts)))
 	return b
 }
 
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -48,7 +48,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.last.IsZero() {
-		b.floor = min(b.floor+b.opts.Floor*now.Sub(b.last).Seconds(), b.opts.Floor)
+		// A floor below one retry per second adds up to one retry.
+		b.floor = min(b.floor+b.opts.Floor*now.Sub(b.last).Seconds(), max(b.opts.Floor, 1))
 	}
 	b.last = now
 	switch {
@@ -62,3 +63,11 @@
 	}
 	return true
 }
+
+// SetFloor changes the number of retries per second that is always allowed, for
+// hosts that divide it among themselves.
+func (b *Budget) SetFloor(perSecond float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.opts.Floor = perSecond
+}
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -38,3 +38,18 @@
 		})
 	}
 }
+
+// A floor below one retry per second must still allow one now and then, or a host
+// with little traffic never retries.
+func TestSmallFloorAddsUp(t *testing.T) {
+	b := NewBudget(Options{Floor: 0.25})
+	now := time.Unix(100, 0)
+	allowed := 0
+	for range 40 {
+		if b.Take(now) {
+			allowed++
+		}
+		now = now.Add(time.Second)
+	}
+	must.Eq(t, 10, allowed)
+}
