--- a/internal/coordinator/fakes_test.go
+++ b/internal/coordinator/fakes_test.go
@@ -87,10 +87,7 @@
 	orders []given
 	seq    map[string]uint64
 	down   map[string]bool
-	lists  [][]residency.Listed
 	c      *Coordinator
-	// late is how far the other hosts' clocks have gone while an order was on its way.
-	late time.Duration
 }
 
 func (f *fleet) take(holder string, o residency.Order, fence uint64) residency.Outcome {
--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,201 @@
+package exchange
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/meter"
+	"github.com/jasminesaddle/jasminesaddle/internal/residency"
+	"github.com/jasminesaddle/jasminesaddle/internal/share"
+)
+
+// control is control hosts of which one may lead.
+type control struct {
+	mu       sync.Mutex
+	leader   string
+	term     uint64
+	revision uint64
+	servers  []*apiv1.FleetServer
+	list     []residency.Listed
+	lists    int
+	exchange int
+	reported []bool
+	acquires int
+}
+
+func (c *control) with(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f()
+}
+
+// hostOf is one control host.
+type hostOf struct {
+	c       *control
+	address string
+}
+
+func (h hostOf) Exchange(_ context.Context, req *apiv1.ExchangeRequest) (*apiv1.ExchangeResponse, error) {
+	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
+	h.c.exchange++
+	if h.address == "dead" {
+		return nil, errors.New("unreachable")
+	}
+	resp := &apiv1.ExchangeResponse{Leadership: &apiv1.Leadership{
+		Leading: h.address == h.c.leader, Term: h.c.term, Leader: h.c.leader, Members: []string{"a", "b"},
+	}}
+	if !resp.Leadership.Leading {
+		return resp, nil
+	}
+	if !req.GetHasDocument() || req.GetDocumentRevision() != h.c.revision {
+		resp.Document = &apiv1.PutDocument{Revision: h.c.revision}
+	}
+	resp.FleetEpoch = 1
+	if req.GetTerm() != h.c.term || req.GetFleetEpoch() == 0 {
+		resp.FleetFull, resp.Servers = true, h.c.servers
+	}
+	return resp, nil
+}
+
+func (h hostOf) Acquire(context.Context, *apiv1.AcquireRequest) (*apiv1.AcquireResponse, error) {
+	time.Sleep(5 * time.Millisecond)
+	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
+	h.c.acquires++
+	return &apiv1.AcquireResponse{Leadership: &apiv1.Leadership{Leading: true}, Instance: "e1", ReadyInMs: 40}, nil
+}
+
+func (c *control) Report(*apiv1.ExchangeRequest) {}
+func (c *control) Reported(ok bool)              { c.with(func() { c.reported = append(c.reported, ok) }) }
+
+func (c *control) List(context.Context) ([]residency.Listed, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lists++
+	return c.list, nil
+}
+
+func start(t *testing.T, test func(t *testing.T, c *control, client *Client)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := &control{leader: "b", term: 1, revision: 5, servers: []*apiv1.FleetServer{{Instance: "e1", Service: "s", Address: "x"}}}
+		client := New(Options{
+			Host: "h", Seeds: []string{"dead", "a"}, Connect: func(address string) Coordination { return hostOf{c, address} },
+			Decode: func(p *apiv1.PutDocument) (*catalog.Catalog, error) {
+				return catalog.New(catalog.Catalog{Revision: p.GetRevision()})
+			},
+			Rates: share.NewHolder(), Usage: c, Lister: c, Interval: 250 * time.Millisecond,
+			Logger: zerolog.Nop(), Meter: meter.NewSet(""), Now: time.Now,
+		})
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- client.Run(ctx) }()
+		time.Sleep(time.Second)
+		test(t, c, client)
+		stop()
+		must.NoError(t, <-done)
+	})
+}
+
+// A host that is told only of hosts that do not lead must find the leader, and
+// follow it to another host.
+func TestFindsLeader(t *testing.T) {
+	start(t, func(t *testing.T, c *control, client *Client) {
+		must.Eq(t, 5, client.View().Catalog.Revision)
+		must.NotNil(t, client.View().Servers["e1"])
+		c.with(func() { c.leader, c.term, c.revision = "a", 2, 7 })
+		time.Sleep(600 * time.Millisecond)
+		must.Eq(t, 7, client.View().Catalog.Revision)
+		must.Eq(t, 2, client.View().Term)
+		must.Less(t, 300*time.Millisecond, client.View().Age(time.Now()))
+	})
+}
+
+// A host must not go back to an older catalog or term, whoever answers.
+func TestNeverGoesBack(t *testing.T) {
+	start(t, func(t *testing.T, c *control, client *Client) {
+		c.with(func() { c.revision = 3 })
+		time.Sleep(time.Second)
+		must.Eq(t, 5, client.View().Catalog.Revision)
+		c.with(func() { c.term, c.revision = 4, 9 })
+		time.Sleep(time.Second)
+		c.with(func() { c.term = 2 })
+		client.apply(&apiv1.ExchangeResponse{Leadership: &apiv1.Leadership{Leading: true, Term: 2}, FleetFull: true}, time.Now())
+		must.Eq(t, 4, client.View().Term)
+		must.MapLen(t, 1, client.View().Servers)
+	})
+}
+
+// While no host leads, a host must learn from the platform's list which servers
+// leave or are gone, and must not read the list otherwise.
+func TestListWithoutLeader(t *testing.T) {
+	start(t, func(t *testing.T, c *control, client *Client) {
+		time.Sleep(5 * time.Second)
+		c.with(func() {
+			must.Zero(t, c.lists)
+			c.leader = ""
+			c.list = []residency.Listed{{Instance: "e1", Service: "s", Address: "x", Draining: true}, {Instance: "e2", Service: "s", Address: "y"}}
+		})
+		time.Sleep(4 * time.Second)
+		must.True(t, client.View().Servers["e1"].Draining)
+		must.NotNil(t, client.View().Servers["e2"])
+		must.Greater(t, 3*time.Second, client.View().Age(time.Now()), must.Sprint("the list made the catalog look fresh"))
+		c.with(func() {
+			must.LessEq(t, 6, c.lists)
+			c.leader, c.term = "b", 3
+		})
+		time.Sleep(time.Second)
+		must.Nil(t, client.View().Servers["e2"])
+		must.False(t, client.View().Servers["e1"].Draining)
+	})
+}
+
+// Requests that wait for one adapter must share a call, and the engine must be in
+// the view when it returns.
+func TestAcquire(t *testing.T) {
+	start(t, func(t *testing.T, c *control, client *Client) {
+		ref := residency.Ref{Model: "m", Adapter: "a"}
+		var wg sync.WaitGroup
+		for range 10 {
+			wg.Go(func() {
+				got, err := client.Acquire(context.Background(), residency.Request{Service: "s", Ref: ref})
+				must.NoError(t, err)
+				must.Eq(t, "e1", got.Instance)
+			})
+		}
+		wg.Wait()
+		c.with(func() { must.Eq(t, 1, c.acquires) })
+		must.Positive(t, time.Until(client.View().Servers["e1"].Held[ref].ReadyAt))
+		c.with(func() { c.leader = "" })
+		time.Sleep(time.Second)
+		_, err := client.Acquire(context.Background(), residency.Request{Service: "s", Ref: ref})
+		e, ok := fault.As(err)
+		must.True(t, ok)
+		must.Eq(t, fault.NotRun, e.Run)
+	})
+}
+
+// Hurried exchanges must keep their distance, or a team beyond its rate makes all
+// hosts ask all the time.
+func TestHurryIsBounded(t *testing.T) {
+	start(t, func(t *testing.T, c *control, client *Client) {
+		before := 0
+		c.with(func() { before = c.exchange })
+		for range 2000 {
+			client.Hurry()
+			time.Sleep(time.Millisecond)
+		}
+		c.with(func() { must.LessEq(t, 22, c.exchange-before) })
+	})
+}
