Give a host the burst of its part as the part grows after a restart

A new leader begins with an eighth of each rate for a host, and the burst of a larger part never came. Ruled out: the rate itself (the parts add up to the whole after 0.5 s). Test: TestBurstComesWithGrowingPart fails without the change.

--- a/internal/share/holder.go
+++ b/internal/share/holder.go
@@ -34,8 +34,16 @@
 	at      time.Time
 	asked   float64
 	sending float64
+	// endowed is the largest part whose burst this host has been given, and
+	// endowUntil when it is given no more.
+	endowed    float64
+	endowUntil time.Time
 }
 
+// endowTime is how long after its first part a host is given the burst of a larger
+// one. A new leader begins with small parts until it has heard all hosts.
+const endowTime = 2 * time.Second
+
 // NewHolder returns a holder without parts.
 func NewHolder() *Holder { return &Holder{teams: map[string]*balance{}} }
 
@@ -130,8 +138,11 @@
 		b := h.team(p.Team)
 		b.refill(now)
 		if b.ends.IsZero() {
-			// The first part comes with its burst.
-			b.level = p.Burst
+			b.endowUntil = now.Add(endowTime)
+		}
+		if p.Fraction > b.endowed && now.Before(b.endowUntil) {
+			b.level += p.Burst * (1 - b.endowed/p.Fraction)
+			b.endowed = p.Fraction
 		}
 		b.part, b.ends = p, sent.Add(p.Valid)
 		b.level = min(b.level, p.Burst)
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -227,3 +227,33 @@
 		}
 	}
 }
+
+// After a restart of everything a host begins with a small part. When it grows, its
+// burst must come with it, but not again and again while parts move.
+func TestBurstComesWithGrowingPart(t *testing.T) {
+	h := NewHolder()
+	now := time.Unix(1000, 0)
+	part := func(f float64) []Part {
+		return []Part{{Team: "red", PerSecond: f * perSecond, Burst: f * burst, Fraction: f, Valid: time.Hour}}
+	}
+	spend := func() float64 {
+		sum := 0.0
+		for {
+			if ok, _ := h.Take("red", 100, now); !ok {
+				return sum
+			}
+			sum += 100
+		}
+	}
+	h.Apply(part(0.1), now, now)
+	must.Eq(t, 0.1*burst, spend())
+	h.Apply(part(0.3), now, now)
+	must.Eq(t, 0.2*burst, spend())
+	h.Apply(part(0.1), now, now)
+	h.Apply(part(0.3), now, now)
+	must.Eq(t, 0, spend())
+	now = now.Add(time.Minute)
+	spend()
+	h.Apply(part(0.9), now, now)
+	must.Eq(t, 0, spend())
+}
