--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -18,7 +18,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
@@ -83,6 +82,9 @@
 
 	memory memory
 
+	// tasks are what leaders have under way.
+	tasks sync.WaitGroup
+
 	mu     sync.Mutex
 	leader *leader
 }
@@ -95,25 +97,33 @@
 	}
 }
 
-// Run follows the lease and runs the leader's systems until the context ends.
+// Run follows the lease and runs the leader's systems until the context ends. It
+// waits for what the leader has under way.
 func (c *Coordinator) Run(ctx context.Context) error {
-	eg, ctx := errgroup.WithContext(ctx)
-	eg.Go(func() error {
-		ticker := time.NewTicker(tickInterval)
-		defer ticker.Stop()
-		defer c.follow(ctx, replica.Lease{})
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-ticker.C:
-				if l := c.follow(ctx, c.opts.Log.Lease()); l != nil {
-					l.tick(c.opts.Now())
-				}
+	defer c.tasks.Wait()
+	defer c.drop()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			if l := c.follow(ctx, c.opts.Log.Lease()); l != nil {
+				l.tick(c.opts.Now())
 			}
 		}
-	})
-	return eg.Wait()
+	}
+}
+
+// drop ends the leader's tables.
+func (c *Coordinator) drop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader != nil {
+		c.leader.stop()
+		c.leader = nil
+	}
 }
 
 // follow makes the leader's tables belong to the term that this host leads. A
--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -63,13 +63,17 @@
 				Fingerprint: m.GetFingerprint(), UntilUnixMs: time.Now().Add(quarantineDuration).UnixMilli(),
 			}},
 		}
-		go func() {
-			ctx, cancel := context.WithTimeout(l.ctx, jobTimeout)
-			defer cancel()
-			if _, err := c.opts.Log.Propose(ctx, cmd); err != nil {
-				c.log.Warn().Err(err).Str("event", "quarantine_not_recorded").Msg("the next crash mark tries again")
-			}
-		}()
+		l.mu.Lock()
+		l.background(func() { l.recordQuarantine(cmd) })
+		l.mu.Unlock()
+	}
+}
+
+func (l *leader) recordQuarantine(cmd *apiv1.Command) {
+	ctx, cancel := context.WithTimeout(l.ctx, proposeTimeout)
+	defer cancel()
+	if _, err := l.c.opts.Log.Propose(ctx, cmd); err != nil {
+		l.log.Warn().Err(err).Str("event", "quarantine_not_recorded").Msg("the next crash mark tries again")
 	}
 }
 
--- a/internal/coordinator/holder.go
+++ b/internal/coordinator/holder.go
@@ -115,7 +115,7 @@
 	for _, h := range changes {
 		l.holding.moving[h.GetInstance()] = true
 	}
-	go l.recordHolders(changes)
+	l.background(func() { l.recordHolders(changes) })
 }
 
 // holderLost tells whether a holder has been told of no order for the pause between
@@ -151,13 +151,13 @@
 		}
 		if !hh.failing.IsZero() && !hh.probing && now.Sub(hh.probed) >= probeInterval {
 			hh.probing, hh.probed = true, now
-			go l.probe(address)
+			l.background(func() { l.probe(address) })
 		}
 	}
 	for _, h := range live {
 		if hh := l.holding.host(h.address); !hh.hasClock && !hh.probing && now.Sub(hh.probed) >= probeInterval {
 			hh.probing, hh.probed = true, now
-			go l.probe(h.address)
+			l.background(func() { l.probe(h.address) })
 		}
 	}
 	slices.SortFunc(live, func(a, b liveHost) int {
--- a/internal/coordinator/job.go
+++ b/internal/coordinator/job.go
@@ -39,7 +39,11 @@
 	}
 	j := &job{done: make(chan struct{})}
 	l.jobs[key] = j
-	go l.runJob(key, j, reason)
+	if l.stopped {
+		close(j.done)
+		return j
+	}
+	l.background(func() { l.runJob(key, j, reason) })
 	return j
 }
 
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -38,6 +38,7 @@
 	marks  *quarantine.Table
 
 	mu       sync.Mutex
+	stopped  bool
 	table    *residency.Table
 	divider  *share.Divider
 	catalog  *catalog.Catalog
@@ -69,7 +70,20 @@
 	return l
 }
 
-func (l *leader) stop() { l.cancel() }
+// stop ends the term. What is under way ends with its context.
+func (l *leader) stop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopped = true
+	l.cancel()
+}
+
+// background runs fn, unless the term has ended. The caller holds mu.
+func (l *leader) background(fn func()) {
+	if !l.stopped {
+		l.c.tasks.Go(fn)
+	}
+}
 
 // tick runs the systems. Each costs what changed or what is due.
 func (l *leader) tick(now time.Time) {
@@ -79,7 +93,7 @@
 	l.expireHosts(now)
 	if !l.listing && !now.Before(l.nextList) {
 		l.listing = true
-		go l.readList()
+		l.background(l.readList)
 	}
 	l.readReports(now)
 	l.assignHolders(now)
@@ -167,7 +181,7 @@
 			continue
 		}
 		l.reporting[e.Instance] = true
-		go l.readReport(e.Instance, e.Address)
+		l.background(func() { l.readReport(e.Instance, e.Address) })
 	}
 }
 
--- a/internal/exchange/acquire.go
+++ b/internal/exchange/acquire.go
@@ -47,7 +47,7 @@
 	if a == nil {
 		a = &acquisition{done: make(chan struct{})}
 		c.waiting[key] = a
-		go c.acquire(key, a, r)
+		c.tasks.Go(func() { c.acquire(key, a, r) })
 	}
 	c.mu.Unlock()
 	select {
@@ -83,7 +83,7 @@
 	if a.err == nil && a.resp.GetInstance() != "" {
 		c.update.Lock()
 		ready := c.opts.Now().Add(time.Duration(a.resp.GetReadyInMs()) * time.Millisecond)
-		c.store(c.view.Load().hold(a.resp.GetInstance(), r.Ref, Held{a.resp.GetVersion(), ready}))
+		c.view.Store(c.view.Load().hold(a.resp.GetInstance(), r.Ref, Held{a.resp.GetVersion(), ready}))
 		c.update.Unlock()
 	}
 	c.log.Info().Err(a.err).Str("event", "acquire").Str("copy", r.Ref.String()).Str("engine", a.resp.GetInstance()).
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -80,11 +80,11 @@
 	wake  chan struct{}
 	taken *meter.Histogram
 
+	// tasks are the calls for adapters that are under way.
+	tasks sync.WaitGroup
 	// update guards the replacement of the view.
 	update sync.Mutex
 	epochs epochs
-	// changed is closed and replaced with each new view.
-	changed chan struct{}
 
 	mu      sync.Mutex
 	seeds   []string
@@ -100,7 +100,7 @@
 // New returns a client without a view. Run must run while it is used.
 func New(opts Options) *Client {
 	c := &Client{
-		opts: opts, log: opts.Logger, seeds: opts.Seeds, wake: make(chan struct{}, 1), changed: make(chan struct{}),
+		opts: opts, log: opts.Logger, seeds: opts.Seeds, wake: make(chan struct{}, 1),
 		peers: map[string]Coordination{}, waiting: map[acquireKey]*acquisition{},
 		taken: opts.Meter.Histogram("exchange_ms"),
 	}
@@ -111,14 +111,6 @@
 // View returns the newest view. It is never nil.
 func (c *Client) View() *View { return c.view.Load() }
 
-// Changed returns a channel that is closed when the view changes. A reader takes
-// the channel before it reads the view.
-func (c *Client) Changed() <-chan struct{} {
-	c.update.Lock()
-	defer c.update.Unlock()
-	return c.changed
-}
-
 // Hurry asks for an exchange at once.
 func (c *Client) Hurry() {
 	select {
@@ -139,6 +131,7 @@
 	eg, ctx := errgroup.WithContext(ctx)
 	eg.Go(func() error { return c.exchangeLoop(ctx) })
 	eg.Go(func() error { return c.listLoop(ctx) })
+	defer c.tasks.Wait()
 	return eg.Wait()
 }
 
@@ -328,13 +321,7 @@
 	}
 	v.Quarantined, v.Suspects = decodeQuarantine(resp, now)
 	v.Confirmed, v.Hosts, v.Term = sent, int(resp.GetHosts()), term
-	c.store(v)
-}
-
-func (c *Client) store(v *View) {
 	c.view.Store(v)
-	close(c.changed)
-	c.changed = make(chan struct{})
 }
 
 func (c *Client) takeDocument(v *View, resp *apiv1.ExchangeResponse) {
@@ -411,7 +398,7 @@
 	v.applyList(list, c.opts.Now())
 	// The next leader sends the whole fleet.
 	c.epochs.fleet = 0
-	c.store(v)
+	c.view.Store(v)
 }
 
 // errNoLeader is the answer to calls while no control host leads.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -334,15 +333,12 @@
 	f.g.use.worked(p.server.Instance, now.Sub(began))
 	f.status = answer.Status
 	f.w.Start(answer.Status, answer.Header, int64(len(body)))
-	if _, err := io.Copy(writerOnly{f.w}, bytes.NewReader(body)); err != nil {
+	if _, err := f.w.Write(body); err != nil {
 		return over, nil
 	}
 	return delivered, nil
 }
 
-// writerOnly hides other methods of a Responder from io.Copy.
-type writerOnly struct{ io.Writer }
-
 // checkCrash finds out whether a server that broke off an answer has crashed,
 // and marks the request if so. Requests to a server that only lost an answer
 // are not marked.
@@ -354,7 +350,7 @@
 	if f.team != nil {
 		mark.Team = f.team.Name
 	}
-	go func() {
+	g.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), silence)
 		defer cancel()
 		if g.opts.Backend.Reachable(ctx, p.server.Address) {
@@ -364,7 +360,7 @@
 		g.use.crashed(mark)
 		g.log.Info().Str("event", "crash").Str("request", f.r.ID).Str("server", p.server.Instance).
 			Hex("fingerprint", mark.GetFingerprint()).Msg("backend server crashed with the request in flight")
-	}()
+	})
 }
 
 // soleSuspect tells whether the request was alone at the server.
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -53,9 +53,7 @@
 	return n, nil
 }
 
-func (b *body) Close() error              { return nil }
-func (b *body) SetReadDeadline(time.Time) {}
-func (b *body) Buffered() int             { return 0 }
+func (b *body) Close() error { return nil }
 
 var (
 	errSilent = errors.New("nothing comes any more")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,6 +51,9 @@
 	use     *usage
 	metrics metrics
 
+	// tasks find out whether servers have crashed.
+	tasks sync.WaitGroup
+
 	mu      sync.Mutex
 	rng     *rand.Rand
 	budgets map[string]*retry.Budget
@@ -84,6 +87,9 @@
 // Reported tells whether the leader has received the last report.
 func (g *Gateway) Reported(ok bool) { g.use.Reported(ok) }
 
+// Wait waits for what goes on after requests have ended.
+func (g *Gateway) Wait() { g.tasks.Wait() }
+
 // Running returns the number of requests that are being served.
 func (g *Gateway) Running() int {
 	g.mu.Lock()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -98,7 +98,8 @@
 	// Header holds the end-to-end fields.
 	Header http.Header
 	Length int64
-	Body   Body
+	// Body ends with io.EOF only when it is complete.
+	Body io.ReadCloser
 	// NotRun is true when the server says that it has not run the request, and
 	// never will. Misdirected is true when it says so because it is another run
 	// or lacks the adapter.
@@ -107,8 +108,6 @@
 	Genuine bool
 	// Load is what the server says of its load; nil when it does not.
 	Load *Load
-	// Leaving is true when the server closes the connection after this answer.
-	Leaving bool
 	// Other is the instance that answered instead of the expected one.
 	Other string
 }
@@ -116,15 +115,6 @@
 // Load is a backend server's own count of requests.
 type Load struct{ Running, Waiting, Slots int }
 
-// Body is the body of an answer. io.EOF means that it is complete.
-type Body interface {
-	io.ReadCloser
-	// SetReadDeadline bounds the wait for the next bytes.
-	SetReadDeadline(t time.Time)
-	// Buffered returns how many bytes can be read without waiting, at most.
-	Buffered() int
-}
-
 // Backend sends attempts to backend servers. Errors are of type *h1.Error.
 type Backend interface {
 	Send(ctx context.Context, r *Request, c Call) (*Answer, error)
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -267,9 +267,6 @@
 	return NewError(sent, timeout, err)
 }
 
-// SetReadDeadline bounds the wait for the next bytes of the body.
-func (r *Response) SetReadDeadline(t time.Time) { _ = r.conn.SetReadDeadline(t) }
-
 // Read reads the body. io.EOF means that the body is complete.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
@@ -281,9 +278,6 @@
 	return n, err
 }
 
-// Buffered returns how many bytes can be read without waiting, at most.
-func (r *Response) Buffered() int { return r.conn.reader.Buffered() }
-
 // Close ends the exchange. A connection is used again only when the body was
 // read to its end and nothing else came.
 func (r *Response) Close() error {
--- a/internal/share/divider.go
+++ b/internal/share/divider.go
@@ -10,7 +10,6 @@
 package share
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -218,14 +217,3 @@
 	u.decay(now)
 	return u.asked + u.debt/debtTime.Seconds()
 }
-
-// Hosts returns the number of hosts that have reported lately.
-func (d *Divider) Hosts(now time.Time) int {
-	n := 0
-	for _, h := range d.hosts {
-		if now.Sub(h.heard) <= hostLive {
-			n++
-		}
-	}
-	return cmp.Or(n, 1)
-}
