--- a/internal/residency/residency_test.go
+++ b/internal/residency/residency_test.go
@@ -285,3 +285,47 @@
 	must.Positive(t, chosen)
 	must.Less(t, 12, chosen)
 }
+
+// Engines that come back empty together must not be given more model loads than the
+// weight store allows, and each must get its model in the end.
+func TestModelLoadsWithinRate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := New(Options{})
+	cat, err := catalog.New(catalog.Catalog{Services: []catalog.Service{{Name: service, Engine: &catalog.Engine{
+		AdapterPlaces: 4, MemoryMB: 1000, LoadsPerSecond: 1,
+		Models: []catalog.Model{{Name: model, MB: 500, Load: 2 * time.Second}, {Name: "huge", MB: 5000, Load: time.Second}},
+	}}}})
+	must.NoError(t, err)
+	table.SetCatalog(cat)
+	var list []Listed
+	for i := range 12 {
+		list = append(list, Listed{Instance: fmt.Sprint("e", i), Service: service, Address: "x"})
+	}
+	table.ObserveList(list, now)
+	for _, l := range list {
+		table.SetOpen(l.Instance, true)
+		table.ObserveReport(l.Instance, Report{}, now)
+	}
+	var starts []time.Time
+	for range 600 {
+		now = now.Add(100 * time.Millisecond)
+		for _, w := range table.Models(now) {
+			must.Eq(t, Ref{Model: model}, w.Ref)
+			o, verdict := table.Next(w.Instance, w.Ref, now)
+			must.Eq(t, Send, verdict)
+			table.Answered(o, Accepted, now)
+			starts = append(starts, now)
+		}
+	}
+	must.Len(t, len(list), starts)
+	for i, at := range starts {
+		inWindow := 0
+		for _, other := range starts[i:] {
+			if other.Sub(at) < 5*time.Second {
+				inWindow++
+			}
+		}
+		// The contract: rate x window x 1.1 + 3.
+		must.LessEq(t, 8, inWindow)
+	}
+}
