--- a/internal/residency/acquire.go
+++ b/internal/residency/acquire.go
@@ -165,7 +165,7 @@
 	switch {
 	case t.transit(e, now) >= t.opts.Transit:
 		return "engine_loads"
-	case !slices.Contains(e.recent, ref) && t.coldLoads(now) >= t.opts.Parallel:
+	case !slices.Contains(e.recent, ref) && t.coldLoads(now) >= max(t.opts.Parallel, len(t.engines)):
 		return "store_loads"
 	case t.free(e) <= 0 && t.victim(e, now) == (Ref{}):
 		return "all_in_use"
--- a/internal/residency/residency_test.go
+++ b/internal/residency/residency_test.go
@@ -329,3 +329,40 @@
 		must.LessEq(t, 8, inWindow)
 	}
 }
+
+// The bound on loads from the store must hold, and must grow with the fleet: a
+// store for a hundred engines serves more at once than one for ten.
+func TestColdLoadsAtOnce(t *testing.T) {
+	for _, engines := range []int{9, 90} {
+		now := time.Unix(1000, 0)
+		table := New(Options{})
+		cat, err := catalog.New(catalog.Catalog{Services: []catalog.Service{{Name: service, Engine: &catalog.Engine{
+			AdapterPlaces: 20, MemoryMB: 1e6, Models: []catalog.Model{{Name: model, MB: 500, AdapterMB: 1}},
+		}}}})
+		must.NoError(t, err)
+		table.SetCatalog(cat)
+		var list []Listed
+		for i := range engines {
+			list = append(list, Listed{Instance: fmt.Sprint("e", i), Service: service, Address: "x", Held: []Copy{{Ref: Ref{Model: model}, Version: 1}}})
+		}
+		table.ObserveList(list, now)
+		for _, l := range list {
+			table.SetOpen(l.Instance, true)
+			table.ObserveReport(l.Instance, Report{Held: l.Held}, now)
+		}
+		accepted := 0
+		for i := range 400 {
+			ref := Ref{model, fmt.Sprint("a", i)}
+			choice := table.Acquire(Request{Service: service, Ref: ref}, now)
+			if choice.Instance == "" {
+				must.Eq(t, "no_place_store_loads", choice.Reason)
+				continue
+			}
+			o, verdict := table.Next(choice.Instance, ref, now)
+			must.Eq(t, Send, verdict)
+			table.Answered(o, Accepted, now)
+			accepted++
+		}
+		must.Eq(t, max(16, engines), accepted)
+	}
+}
--- a/internal/residency/table.go
+++ b/internal/residency/table.go
@@ -36,7 +36,8 @@
 	// engine's own copy (a tenth of it).
 	ColdLoad, WarmLoad time.Duration
 	// Parallel is the number of cold loads that the store serves at full speed (16,
-	// as published). More are not ordered at once, as each would take longer.
+	// as published for the smallest deployments), or one for each engine where there
+	// are more. More are not ordered at once, as each would take longer.
 	Parallel int
 	// Transit bounds the adapters on their way to one engine.
 	Transit int
