--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -278,6 +278,9 @@
 			return err
 		}
 		must.NoError(t, call())
+		// net/http offers a new connection to later calls in the goroutine that
+		// dialed it, after it has given it to the first one.
+		synctest.Wait()
 		must.NoError(t, call())
 		must.Len(t, 1, n.silent, must.Sprint("the connection was not reused"))
 		close(n.silent[0])
