Never end a stream for silence alone

Cause: an attempt whose engine had said nothing for 1.2 s was cancelled before it was known that the request could go on elsewhere. On the grown second site, with 80 hosts, a host hears of most engines through one request only, and engines short of memory let single requests wait longer than that. The log called such a request served.

Ruled out: a cut by the engine (its run ended after ours), the budget of time (2.1 of 5 s used).

The watch now takes the repeat from the budget and looks for another server before it cancels. The log says cut, and why.

TestSilenceAloneEndsNothing and TestCutIsLogged fail without the change.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -20,11 +20,6 @@
 	maxSends = 5
 	// leastWork is the least time that must be left for another attempt.
 	leastWork = 30 * time.Millisecond
-	// silence is how long an engine may say nothing to any request of this host
-	// before a request that may be repeated is sent elsewhere. It is far above
-	// the time of one piece of a prompt and below the time after which callers
-	// leave.
-	silence = 1200 * time.Millisecond
 	// unsafeIdle bounds the idle time of connections for requests that may not be
 	// repeated: a server may close an older one while the request is on its way.
 	unsafeIdle = 2 * time.Second
@@ -83,7 +78,8 @@
 		if v == delivered {
 			return nil
 		}
-		if v == over || !f.mayRepeat(ctx, v) || !budget.Take(f.g.opts.Now()) {
+		paid := f.repeatPaid.Swap(false)
+		if v == over || !f.mayRepeat(ctx, v) || !paid && !budget.Take(f.g.opts.Now()) {
 			break
 		}
 		f.g.metrics.repeats.Add(1)
@@ -109,6 +105,7 @@
 func (f *flight) conclude(answer *kept, failure error) error {
 	switch {
 	case f.started:
+		f.brokenOff = failure
 		f.w.Abort()
 		return nil
 	case answer != nil:
@@ -140,8 +137,8 @@
 	f.refused[instance] = true
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch := f.watch(ctx, cancel, instance, now)
-	defer watch()
+	watch := f.watch(cancel, instance, now)
+	defer watch.end()
 	answer, err := f.g.opts.Backend.Send(ctx, f.r, f.call(p, now))
 	if err != nil {
 		v, err := f.unsent(ctx, p, err)
@@ -197,27 +194,6 @@
 	return min(max(rank, 0), leastUrgent)
 }
 
-// watch cancels an attempt that may be repeated when its server has been silent
-// towards all requests of this host. It returns the function that ends it.
-func (f *flight) watch(ctx context.Context, cancel context.CancelFunc, instance string, began time.Time) func() {
-	if !f.route.Repeatable || f.ran+1 >= max(f.route.MaxAttempts, 1) {
-		return func() {}
-	}
-	var timer *time.Timer
-	timer = time.AfterFunc(silence, func() {
-		heard := f.g.use.lastHeard(instance)
-		if heard.Before(began) {
-			heard = began
-		}
-		if rest := silence - f.g.opts.Now().Sub(heard); rest > 0 {
-			timer.Reset(rest)
-			return
-		}
-		cancel()
-	})
-	return func() { timer.Stop() }
-}
-
 // unsent handles an attempt without an answer.
 func (f *flight) unsent(ctx context.Context, p place, err error) (verdict, error) {
 	now := f.g.opts.Now()
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -23,12 +23,13 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/share"
 )
 
-// body is an answer's body: pieces that come one after the other, and its end.
+// body is an answer's body: pieces that come a gap after each other, and its end.
 type body struct {
 	pieces []string
 	gap    time.Duration
 	end    error
 	ctx    context.Context
+	begun  bool
 }
 
 func (b *body) Read(p []byte) (int, error) {
@@ -42,9 +43,14 @@
 		}
 		return 0, b.end
 	}
-	if b.gap > 0 {
-		time.Sleep(b.gap)
+	if b.begun {
+		select {
+		case <-time.After(b.gap):
+		case <-b.ctx.Done():
+			return 0, b.ctx.Err()
+		}
 	}
+	b.begun = true
 	n := copy(p, b.pieces[0])
 	b.pieces[0] = b.pieces[0][n:]
 	if b.pieces[0] == "" {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"bytes"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
@@ -12,6 +14,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/h1"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
+	"github.com/jasminesaddle/jasminesaddle/internal/retry"
 	"github.com/jasminesaddle/jasminesaddle/internal/share"
 )
 
@@ -385,3 +388,53 @@
 		must.Zero(t, h.g.Running())
 	})
 }
+
+// A stream that an engine lets wait must not be broken off when it cannot go on
+// elsewhere: without a repeat in the budget, or on a route that does not resume.
+func TestSilenceAloneEndsNothing(t *testing.T) {
+	for name, pin := range map[string]func(h *host){
+		"no repeat left": func(h *host) { h.g.opts.Repeats = retry.Options{} },
+		"not resumable": func(h *host) {
+			r, _ := h.view.Catalog.Route("h", "/stream/x")
+			r.Resumable = false
+		},
+		"no other engine": func(h *host) {
+			for _, s := range h.view.ByService[llm][1:] {
+				s.Draining = true
+			}
+			h.acquire = func(residency.Request) (exchange.Acquired, error) {
+				return exchange.Acquired{}, fault.New(fault.KindOverloaded, "no place", "send the request again")
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start(t, func(h *host) {
+				pin(h)
+				h.answer = func(int, Call) reply {
+					return reply{status: 200, body: &body{pieces: []string{event("1"), event("2")}, gap: 1300 * time.Millisecond}}
+				}
+				c, err := h.ask("stream", func(r *Request) { r.Budget = 3 * time.Second })
+				must.NoError(t, err)
+				must.False(t, c.aborted, must.Sprint("the answer was broken off"))
+				must.Eq(t, event("1")+event("2"), c.String())
+				must.Len(t, 1, h.sent)
+			})
+		})
+	}
+}
+
+// The log must say that a begun answer was broken off, and why.
+func TestCutIsLogged(t *testing.T) {
+	start(t, func(h *host) {
+		var log bytes.Buffer
+		h.g.log = zerolog.New(&log)
+		h.answer = func(int, Call) reply {
+			return reply{status: 200, body: &body{pieces: []string{event("1")}, end: errReset}}
+		}
+		c, err := h.ask("once", nil)
+		must.NoError(t, err)
+		must.True(t, c.aborted)
+		must.StrContains(t, log.String(), `"outcome":"cut"`)
+		must.StrContains(t, log.String(), errReset.Error())
+	})
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,6 +49,12 @@
 	started           bool
 	firstAt           time.Time
 	status            int
+	// brokenOff is why a begun answer was broken off.
+	brokenOff error
+	// pinned is true once the answer has begun and cannot go on elsewhere.
+	pinned atomic.Bool
+	// repeatPaid is true when the next repeat has been taken from the budget.
+	repeatPaid atomic.Bool
 }
 
 // attempt is what is logged of one attempt.
@@ -245,6 +252,9 @@
 	for _, a := range f.attempts {
 		e = e.Str("server", a.instance).Str("attempt", a.outcome).Dur("attempt_took", a.took)
 	}
+	if err == nil {
+		err = f.brokenOff
+	}
 	if err != nil {
 		e = e.Err(err)
 	}
@@ -255,6 +265,8 @@
 	switch {
 	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled):
 		return "caller_gone"
+	case err == nil && f.brokenOff != nil:
+		return "cut"
 	case err == nil && f.status < 400:
 		return "served"
 	case err == nil:
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -58,6 +58,7 @@
 // pass writes events to the caller, after the header of the first server.
 func (f *flight) pass(answer *Answer, whole []byte) error {
 	f.begin(answer)
+	f.pinned.Store(!f.route.Resumable || f.events.last == "")
 	if _, err := f.w.Write(whole); err != nil {
 		return err
 	}
