Elect a leader at once after a loss of all control hosts

Cause: a voter that restarts refuses votes for one election time-out, because a lease may count on an answer of its earlier run, and stands for election only after one to two of them.

Ruled out: the entry hosts (they had the view 50 ms after the election), the disks.

A host now greets each new run at once. Once every other member has answered a restarted host from a process of which its earlier runs had not heard, no process that held a lease is left; where leases end with their process (group: holders are members, engines fence orders) the wait ends then.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -15,8 +15,11 @@
 // lease that counts on this voter. A transfer is exempt, because the leader has
 // given up its lease before it asked for one.
 func (n *Node) refusesVote(transfer bool) bool {
+	if n.now.Before(n.startedAt) {
+		return true
+	}
 	if transfer {
-		return n.now.Before(n.startedAt)
+		return false
 	}
 	if n.role == Leader && n.now.Before(n.quorumAt.Add(n.cfg.ElectionTimeout)) {
 		return true
--- a/internal/consensus/invariants_test.go
+++ b/internal/consensus/invariants_test.go
@@ -51,8 +51,12 @@
 }
 
 // checkLeases checks that a lease begins only after all leases that were given
-// out in earlier terms have ended, by the clocks of those who hold them.
+// out in earlier terms have ended, by the clocks of those who hold them. Where
+// leases end with their process, those of processes that are gone do not count.
 func (w *world) checkLeases() {
+	if w.leaseEndsWithProcess {
+		clear(w.leaseUntil)
+	}
 	for _, h := range w.hosts {
 		if h.node == nil {
 			continue
--- a/internal/consensus/model_test.go
+++ b/internal/consensus/model_test.go
@@ -46,6 +46,7 @@
 			"crash":   m.crash,
 			"restart": m.restart,
 			"reset":   m.restartAll,
+			"orphan":  m.restartOthers,
 			"network": m.network,
 			"cut":     m.cutLinks,
 			"isolate": m.isolateLeader,
@@ -126,6 +127,23 @@
 	}
 }
 
+// restartOthers cuts the leader off and restarts all other hosts at once, so that
+// they elect another one as soon as they may, while its lease lasts.
+func (m *model) restartOthers(t *rapid.T) {
+	l := m.w.leader()
+	if l == nil {
+		return
+	}
+	for _, h := range m.w.hosts {
+		if h == l {
+			continue
+		}
+		m.w.cut[[2]string{l.name, h.name}], m.w.cut[[2]string{h.name, l.name}] = true, true
+		m.w.start(h)
+	}
+	m.w.run(worldStep * time.Duration(rapid.IntRange(1, 20).Draw(t, "steps")))
+}
+
 func (m *model) network(t *rapid.T) {
 	m.w.loss = rapid.SampledFrom([]float64{0, 0, 0.1, 0.5}).Draw(t, "loss")
 	m.w.dup = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "doubled")
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -51,6 +51,10 @@
 	PromoteLag uint64
 	// Seed seeds the random election timeouts.
 	Seed uint64
+	// LeaseEndsWithProcess is true when nothing outside the members acts on a
+	// lease, so that a lease ends with the process that holds it. It allows
+	// PeerRestarted to shorten the wait after a restart.
+	LeaseEndsWithProcess bool
 }
 
 func (c Config) withDefaults() Config {
@@ -128,11 +132,13 @@
 	now        time.Time
 	electionAt time.Time
 	// refuseUntil is until when votes are refused: one election timeout after
-	// the last word from a leader, and after a restart, when that is forgotten.
+	// the last word from a leader.
 	refuseUntil time.Time
-	// startedAt is the end of the wait after a restart, which a leadership
-	// transfer does not override.
+	// startedAt is the end of the wait after a restart, when the last word from a
+	// leader is forgotten. A leadership transfer does not override it.
 	startedAt time.Time
+	// restarted holds the members that PeerRestarted has named.
+	restarted map[string]bool
 
 	votes    map[string]bool
 	early    []*apiv1.LogMessage
@@ -155,9 +161,8 @@
 		cfg: cfg, id: cfg.ID, log: log,
 		rng:  rand.New(rand.NewPCG(cfg.Seed, 0x6a61736d)),
 		term: saved.HardState.Term, vote: saved.HardState.Vote, saved: saved.HardState,
-		now: now, startedAt: now.Add(cfg.ElectionTimeout),
+		now: now, startedAt: now.Add(cfg.ElectionTimeout), restarted: map[string]bool{},
 	}
-	n.refuseUntil = n.startedAt
 	n.resetElection()
 	return n, nil
 }
--- a/internal/consensus/world_test.go
+++ b/internal/consensus/world_test.go
@@ -78,9 +78,11 @@
 	run     Run
 	earlier []Run
 	runs    Runs
-	applied uint64
-	chain   uint64
-	crash   crashPoint
+	// recorded are the runs of peers that the disk held at the start.
+	recorded Runs
+	applied  uint64
+	chain    uint64
+	crash    crashPoint
 	// refused is true for a host on a restored disk.
 	refused bool
 }
@@ -118,10 +120,13 @@
 	leaseUntil map[uint64]time.Duration
 	disks      int
 	proposed   int
+	// leaseEndsWithProcess is the setting of all nodes.
+	leaseEndsWithProcess bool
 }
 
 func newWorld(seed uint64, count int, fail func(string, ...any)) *world {
 	w := &world{
+		leaseEndsWithProcess: seed%2 == 1,
 		fail: fail, rng: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]string]bool{}, maxDelay: worldStep,
 		leaders: map[uint64]string{}, log: map[uint64]committed{1: {term: 1}}, leaseUntil: map[uint64]time.Duration{},
 	}
@@ -162,8 +167,10 @@
 	h.disk.own = append(h.disk.own, h.run)
 	h.disk.saves++
 	h.runs = maps.Clone(h.disk.runs)
+	h.recorded = maps.Clone(h.disk.runs)
 	cfg := Config{ID: h.disk.id, ElectionTimeout: electionTimeout, HeartbeatInterval: 200 * time.Millisecond,
-		MaxMessageBytes: 100, MaxInFlight: 16, PromoteLag: 5, Seed: w.rng.Uint64()}
+		MaxMessageBytes: 100, MaxInFlight: 16, PromoteLag: 5, Seed: w.rng.Uint64(),
+		LeaseEndsWithProcess: w.leaseEndsWithProcess}
 	// The node gets its own copy, as a real restart reads the disk.
 	node, err := New(cfg, h.disk.clone().saved, w.clock(h))
 	if err != nil {
@@ -268,6 +275,7 @@
 		return
 	case NewRun:
 		h.disk.save(Ready{}, h.runs)
+		w.post(h, p.disk, nil)
 	}
 	// The driver stops for good when a peer shows that its disk is an old copy.
 	own := h.run
@@ -279,6 +287,9 @@
 		h.node = nil
 		return
 	}
+	if p.seen != nil && p.seen.Nonce == h.run.Nonce && h.recorded[p.disk].Nonce != p.run.Nonce {
+		h.node.PeerRestarted(w.clock(h), p.disk)
+	}
 	if p.message != nil {
 		h.node.Step(w.clock(h), proto.Clone(p.message).(*apiv1.LogMessage))
 		w.process(h)
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -148,7 +148,10 @@
 		Cluster: g.opts.Cluster, Self: g.opts.Self, Bootstrap: seeds,
 		JoinOnly: !g.opts.FirstStart || !slices.Contains(g.Seeds(), g.opts.Self.GetAddress()),
 		Store:    store, Machine: machine, Transport: g.opts.Transport, Logger: g.log,
-		ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, SnapshotEntries: snapshotEntries, TrailingEntries: trailingEntries, Now: g.opts.Now,
+		ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, SnapshotEntries: snapshotEntries,
+		TrailingEntries: trailingEntries, Now: g.opts.Now,
+		// Holders of engines are members, and engines fence orders by their sequence.
+		LeaseEndsWithProcess: true,
 	}
 }
 
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -147,6 +147,7 @@
 			"the data folder is an older copy: %s has seen boot %d and save %d of it, and it has boot %d and save %d",
 			sender.GetHost(), seen.Boot, seen.Saves, own.Boot, own.Saves).At("data_folder")
 	}
+	r.noteRestart(req)
 	r.boot.contacts[sender.GetDiskId()] = sender
 	r.boot.diskOf[sender.GetHost()] = sender.GetDiskId()
 	if !slices.ContainsFunc(r.targets(), func(m *apiv1.Member) bool { return m.GetAddress() == sender.GetAddress() }) {
@@ -158,6 +159,33 @@
 	return r.gather(h)
 }
 
+// noteRestart notes a peer that runs a process of which no earlier run of this
+// host had heard. Only a hello that answers this run counts: it shows that the
+// peer takes this data folder for whole.
+func (r *Replica) noteRestart(req *apiv1.StepRequest) {
+	disk, h := req.GetFromDiskId(), req.GetHello()
+	knowsThisRun := h.GetSeenDiskId() == r.id.DiskID && h.GetSeen().GetBootNonce() == r.id.Nonce
+	if !knowsThisRun || r.recorded[disk].Nonce == req.GetBootNonce() || r.restarted[disk] {
+		return
+	}
+	r.restarted[disk] = true
+	if r.node != nil {
+		r.node.PeerRestarted(r.opts.Now(), disk)
+	}
+}
+
+// greet answers the first message of a peer's new run with a hello, so that both
+// know of each other at once.
+func (r *Replica) greet(req *apiv1.StepRequest) {
+	to := req.GetHello().GetSender()
+	if to == nil {
+		to = r.memberOf(req.GetFromDiskId())
+	}
+	if to != nil {
+		r.opts.Transport.Send(to, r.hello(req.GetFromDiskId()))
+	}
+}
+
 // gather takes a hello while this host does not run yet.
 func (r *Replica) gather(h *apiv1.Hello) error {
 	b := &r.boot
--- a/internal/replica/process.go
+++ b/internal/replica/process.go
@@ -24,6 +24,7 @@
 		if err := r.opts.Store.Save(storage.Update{Peers: map[string]consensus.Run{disk: run}}); err != nil {
 			return err
 		}
+		r.greet(req)
 	case consensus.KnownRun:
 		r.newRuns[disk] = r.runs[disk]
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -64,6 +65,9 @@
 	TrailingEntries uint64
 	// MaxMessageBytes bounds the entries or snapshot data in one message (1 MiB).
 	MaxMessageBytes int
+	// LeaseEndsWithProcess is true when nothing outside the members acts on a
+	// lease. After a restart of all members a leader is then elected sooner.
+	LeaseEndsWithProcess bool
 	// Seed seeds the election timeouts; 0 takes the run's random nonce.
 	Seed uint64
 	// Now is the clock (time.Now).
@@ -126,6 +130,11 @@
 	transfers []chan error
 	runs      consensus.Runs
 	newRuns   map[string]consensus.Run
+	// recorded holds the runs of peers that earlier runs of this host have seen.
+	recorded consensus.Runs
+	// restarted holds the peers that have heard of this run and whose own run is
+	// not recorded.
+	restarted map[string]bool
 	role      consensus.Role
 	term      uint64
 	boot      bootstrap
@@ -153,6 +162,7 @@
 		stopped:   make(chan struct{}),
 		waiting:   map[uint64]*proposal{},
 		newRuns:   map[string]consensus.Run{},
+		restarted: map[string]bool{},
 	}
 	for _, run := range id.Earlier {
 		r.earlier = append(r.earlier, encodeRun(run))
@@ -168,6 +178,7 @@
 	for disk, run := range runs {
 		r.runs[disk] = run
 	}
+	r.recorded = maps.Clone(r.runs)
 	r.boot = newBootstrap(first)
 	if saved.Snapshot == nil && saved.HardState.Term == 0 {
 		return nil
@@ -186,12 +197,15 @@
 	node, err := consensus.New(consensus.Config{
 		ID: r.id.DiskID, Seed: r.opts.Seed, MaxMessageBytes: r.opts.MaxMessageBytes,
 		ElectionTimeout:   time.Duration(r.opts.ElectionTicks) * tick,
-		HeartbeatInterval: time.Duration(r.opts.HeartbeatTicks) * tick,
+		HeartbeatInterval: time.Duration(r.opts.HeartbeatTicks) * tick, LeaseEndsWithProcess: r.opts.LeaseEndsWithProcess,
 	}, saved, r.opts.Now())
 	if err != nil {
 		return err
 	}
 	r.node = node
+	for disk := range r.restarted {
+		node.PeerRestarted(r.opts.Now(), disk)
+	}
 	return nil
 }
 
