--- a/internal/consensus/world_test.go
+++ b/internal/consensus/world_test.go
@@ -127,7 +127,7 @@
 func newWorld(seed uint64, count int, fail func(string, ...any)) *world {
 	w := &world{
 		leaseEndsWithProcess: seed%2 == 1,
-		fail: fail, rng: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]string]bool{}, maxDelay: worldStep,
+		fail:                 fail, rng: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]string]bool{}, maxDelay: worldStep,
 		leaders: map[uint64]string{}, log: map[uint64]committed{1: {term: 1}}, leaseUntil: map[uint64]time.Duration{},
 	}
 	set := &apiv1.MemberSet{}
