Lend from a pool of each rate to requests that wait

Cause: a rate was divided between the hosts as a whole.

Ruled out: the rate itself (only one team was beyond it), the wait for parts to move.

0.3 to 0.7 of each rate, by the number of hosts, stays undivided and is lent by the leader within one exchange to single requests that wait. A request whose tokens will not be there within a third of its objective is refused at once.

--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -252,12 +252,14 @@
 func (l *leader) addParts(req *apiv1.ExchangeRequest, resp *apiv1.ExchangeResponse, now time.Time) {
 	uses := make([]share.Use, 0, len(req.GetUses()))
 	for _, u := range req.GetUses() {
-		uses = append(uses, share.Use{Team: u.GetTeam(), Asked: u.GetAsked(), Debt: u.GetDebt(), Fraction: u.GetFraction()})
+		uses = append(uses, share.Use{
+			Team: u.GetTeam(), Asked: u.GetAsked(), Debt: u.GetDebt(), Fraction: u.GetFraction(), Waiting: u.GetWaiting(),
+		})
 	}
 	for _, p := range l.divider.Report(req.GetHost(), uses, now) {
 		resp.Parts = append(resp.Parts, &apiv1.TeamPart{
 			Team: p.Team, TokensPerSecond: p.PerSecond, BurstTokens: p.Burst, Fraction: p.Fraction,
-			ValidMs: uint32(p.Valid.Milliseconds()),
+			ValidMs: uint32(p.Valid.Milliseconds()), LentTokens: p.Lent, PoolWaitMs: uint32(p.PoolWait.Milliseconds()),
 		})
 	}
 }
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -288,7 +288,9 @@
 		VersionsEpoch: e.versions, FleetEpoch: e.fleet,
 	}
 	for _, u := range c.opts.Rates.Report(now) {
-		req.Uses = append(req.Uses, &apiv1.TeamUse{Team: u.Team, Asked: u.Asked, Debt: u.Debt, Fraction: u.Fraction})
+		req.Uses = append(req.Uses, &apiv1.TeamUse{
+			Team: u.Team, Asked: u.Asked, Debt: u.Debt, Fraction: u.Fraction, Waiting: u.Waiting,
+		})
 	}
 	if v.Catalog != nil {
 		req.HasDocument, req.DocumentRevision = true, v.Catalog.Revision
@@ -412,6 +414,7 @@
 		out = append(out, share.Part{
 			Team: p.GetTeam(), PerSecond: p.GetTokensPerSecond(), Burst: p.GetBurstTokens(), Fraction: p.GetFraction(),
 			Valid: time.Duration(p.GetValidMs()) * time.Millisecond,
+			Lent:  p.GetLentTokens(), PoolWait: time.Duration(p.GetPoolWaitMs()) * time.Millisecond,
 		})
 	}
 	return out
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -48,13 +48,16 @@
 	generationWork = 500 * time.Millisecond
 )
 
+func (f *flight) objective() time.Duration {
+	if f.route.Objective == 0 {
+		return defaultObjective
+	}
+	return f.route.Objective
+}
+
 // patience is how long the request may wait before it begins at a server.
 func (f *flight) patience(now time.Time) time.Duration {
-	objective := f.route.Objective
-	if objective == 0 {
-		objective = defaultObjective
-	}
-	left := time.Duration(float64(objective)*objectivePart) - now.Sub(f.r.Received)
+	left := time.Duration(float64(f.objective())*objectivePart) - now.Sub(f.r.Received)
 	return min(max(left, leastPatience), f.deadline.Sub(now))
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -20,10 +20,12 @@
 	// answerMargin is how long before its deadline a request is given up, so that
 	// the answer still reaches the caller.
 	answerMargin = 15 * time.Millisecond
-	// tokenPatience bounds the wait for tokens of the host's part.
-	tokenPatience = 150 * time.Millisecond
+	// tokenPart is the part of its objective that a request may wait for tokens. The
+	// leader lends from the team's pool within one exchange, which is at most 100 ms
+	// away.
+	tokenPart = 1.0 / 3
 	// tokenPause is the time between two looks for tokens.
-	tokenPause = 40 * time.Millisecond
+	tokenPause = 20 * time.Millisecond
 )
 
 // flight is one request that is being served.
@@ -197,27 +199,46 @@
 }
 
 // reserve takes the request's tokens from the host's part of the team's rate. It
-// waits for tokens that are there within tokenPatience.
+// waits for tokens that may be there in time, and refuses a request at once when
+// they will not be.
 func (f *flight) reserve(ctx context.Context) error {
 	if !f.team.Limited() {
 		return nil
 	}
 	cost := f.team.Cost(f.r.Tokens())
 	began := f.g.opts.Now()
+	ok, retry := f.g.opts.Rates.Take(f.team.Name, cost, began)
+	if !ok && retry <= f.tokenPatience() {
+		ok, retry = f.awaitTokens(ctx, cost, began)
+	}
+	if !ok {
+		return fault.Newf(fault.KindRateLimited, "send the request later", "team %s is beyond its rate of %d/s with a burst of %d",
+			f.team.Name, f.team.Rate, f.team.Burst).WithRun(fault.NotRun).After(retry)
+	}
+	f.reserved = cost
+	f.g.metrics.tokens.Observe(f.g.opts.Now().Sub(began))
+	return nil
+}
+
+// tokenPatience bounds the wait for tokens.
+func (f *flight) tokenPatience() time.Duration {
+	return time.Duration(float64(f.objective()) * tokenPart)
+}
+
+// awaitTokens waits until the host's part or the team's pool has the tokens.
+func (f *flight) awaitTokens(ctx context.Context, cost uint64, began time.Time) (ok bool, retry time.Duration) {
+	w := f.g.opts.Rates.Wait(f.team.Name, cost)
+	defer w.End()
+	patience := f.tokenPatience()
+	f.g.opts.Fleet.Hurry()
 	for {
+		alive := pause(ctx, tokenPause)
 		now := f.g.opts.Now()
-		ok, retry := f.g.opts.Rates.Take(f.team.Name, cost, now)
-		if ok {
-			f.reserved = cost
-			f.g.metrics.tokens.Observe(now.Sub(began))
-			return nil
+		if ok, retry = w.Try(now); ok || !alive {
+			return ok, retry
 		}
-		// The leader may give this host a larger part.
-		f.g.opts.Fleet.Hurry()
-		retry = max(retry, tokenPause)
-		if now.Add(tokenPause).After(began.Add(tokenPatience)) || !pause(ctx, tokenPause) {
-			return fault.Newf(fault.KindRateLimited, "send the request later", "team %s is beyond its rate of %d/s with a burst of %d",
-				f.team.Name, f.team.Rate, f.team.Burst).WithRun(fault.NotRun).After(retry)
+		if retry > patience || now.Add(tokenPause).After(began.Add(patience)) {
+			return false, max(retry, tokenPause)
 		}
 	}
 }
--- a/internal/share/divider.go
+++ b/internal/share/divider.go
@@ -3,6 +3,9 @@
 // Holder spends on its own until the part ends. Hosts go on without the leader
 // for that long, and no request waits for it.
 //
+// A pool keeps some of each rate undivided. The leader lends from it to hosts whose
+// requests wait although others have tokens left.
+//
 // Package rate lends single tokens instead. It is exact, but stops within
 // seconds without a lender, and leaves tokens idle at hosts when requests are
 // large against the burst. The parts here may be overdrawn by one request at each
@@ -18,6 +21,8 @@
 // Rate is a team's rate, in tokens per second, and its burst in tokens.
 type Rate struct{ PerSecond, Burst float64 }
 
+func (r Rate) times(part float64) Rate { return Rate{r.PerSecond * part, r.Burst * part} }
+
 // Use is what a host tells of one team.
 type Use struct {
 	Team string
@@ -27,6 +32,8 @@
 	Debt float64
 	// Fraction is the part of the rate that the host holds, of 1.
 	Fraction float64
+	// Waiting are the tokens of each request that waits for the pool.
+	Waiting []float64
 }
 
 // Part is a host's part of a team's rate.
@@ -35,6 +42,10 @@
 	PerSecond, Burst float64
 	Fraction         float64
 	Valid            time.Duration
+	// Lent are tokens from the team's pool. PoolWait is when the pool may have more;
+	// 0 when it lent all.
+	Lent     float64
+	PoolWait time.Duration
 }
 
 const (
@@ -67,6 +78,7 @@
 	start time.Time
 	rates map[string]Rate
 	hosts map[string]*host
+	pools pools
 	// earlier is true when some host holds parts of an earlier leader. Parts that
 	// nobody has reported may then be in use until heldValid after the start.
 	earlier bool
@@ -89,7 +101,7 @@
 
 // NewDivider returns a divider for a term that starts now.
 func NewDivider(now time.Time) *Divider {
-	return &Divider{start: now, rates: map[string]Rate{}, hosts: map[string]*host{}}
+	return &Divider{start: now, rates: map[string]Rate{}, hosts: map[string]*host{}, pools: pools{}}
 }
 
 // SetRates replaces the rates of all teams.
@@ -112,14 +124,17 @@
 	if now.Sub(d.start) < settle && d.earlier {
 		return nil
 	}
+	d.fillPools(now)
 	parts := make([]Part, 0, len(d.rates))
 	for team, rate := range d.rates {
 		f := min(d.fraction(name, team, rate, now), d.unclaimed(name, team, now))
 		u := h.of(team, now)
 		u.claim = max(u.fraction, f)
 		u.fraction = f
-		parts = append(parts, Part{Team: team, PerSecond: f * rate.PerSecond, Burst: f * rate.Burst, Fraction: f, Valid: valid})
+		divided := rate.times((1 - d.poolPart()) * f)
+		parts = append(parts, Part{Team: team, PerSecond: divided.PerSecond, Burst: divided.Burst, Fraction: f, Valid: valid})
 	}
+	d.lend(parts, uses)
 	slices.SortFunc(parts, func(a, b Part) int { return strings.Compare(a.Team, b.Team) })
 	return parts
 }
--- a/internal/share/holder.go
+++ b/internal/share/holder.go
@@ -38,8 +38,28 @@
 	// endowUntil when it is given no more.
 	endowed    float64
 	endowUntil time.Time
+	// waiters are the requests that wait, lent the tokens from the pool for them,
+	// and poolEmpty until when the pool has nothing more.
+	waiters   []*Waiter
+	lent      float64
+	poolEmpty time.Time
 }
 
+// unlent returns the tokens of the requests that nothing is lent for yet.
+func (b *balance) unlent() []float64 {
+	var out []float64
+	lent := b.lent
+	for _, w := range b.waiters[:min(len(b.waiters), mostWaiting)] {
+		if lent -= float64(w.tokens); lent < 0 {
+			out = append(out, float64(w.tokens))
+		}
+	}
+	return out
+}
+
+// mostWaiting bounds the requests of one team that the leader is told of at once.
+const mostWaiting = 64
+
 // endowTime is how long after its first part a host is given the burst of a larger
 // one. A new leader begins with small parts until it has heard all hosts.
 const endowTime = 2 * time.Second
@@ -68,8 +88,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	b := h.team(team)
-	b.refill(now)
 	b.asked += float64(tokens)
+	return b.take(tokens, now)
+}
+
+func (b *balance) take(tokens uint64, now time.Time) (bool, time.Duration) {
+	b.refill(now)
 	if b.level > 0 && now.Before(b.ends) {
 		b.level -= float64(tokens)
 		return true, 0
@@ -77,6 +101,46 @@
 	return false, b.retry(now)
 }
 
+// Waiter is a request that waits for tokens. The leader is told of it.
+type Waiter struct {
+	h      *Holder
+	team   string
+	tokens uint64
+}
+
+// Wait lets a request wait after Take had no tokens for it. End must follow.
+func (h *Holder) Wait(team string, tokens uint64) *Waiter {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	w := &Waiter{h, team, tokens}
+	b := h.team(team)
+	b.waiters = append(b.waiters, w)
+	return w
+}
+
+// Try takes the tokens if they are there now, or tells when they may be.
+func (w *Waiter) Try(now time.Time) (ok bool, retry time.Duration) {
+	w.h.mu.Lock()
+	defer w.h.mu.Unlock()
+	b := w.h.team(w.team)
+	if b.lent >= float64(w.tokens) {
+		b.lent -= float64(w.tokens)
+		return true, 0
+	}
+	return b.take(w.tokens, now)
+}
+
+// End ends the wait.
+func (w *Waiter) End() {
+	w.h.mu.Lock()
+	defer w.h.mu.Unlock()
+	b := w.h.team(w.team)
+	b.waiters = slices.DeleteFunc(b.waiters, func(other *Waiter) bool { return other == w })
+	if len(b.waiters) == 0 {
+		b.lent = 0
+	}
+}
+
 const (
 	// leastRetry and mostRetry bound the time after which a caller is told to
 	// come back. Other hosts may have tokens, and parts follow what is asked.
@@ -84,11 +148,13 @@
 	mostRetry  = 2 * time.Second
 )
 
+// retry returns when the part or the pool may have tokens, whichever is sooner.
 func (b *balance) retry(now time.Time) time.Duration {
-	if !now.Before(b.ends) || b.part.PerSecond <= 0 {
-		return mostRetry
+	own := mostRetry
+	if now.Before(b.ends) && b.part.PerSecond > 0 {
+		own = time.Duration(-b.level / b.part.PerSecond * float64(time.Second))
 	}
-	return min(max(time.Duration(-b.level/b.part.PerSecond*float64(time.Second)), leastRetry), mostRetry)
+	return min(max(min(own, b.poolEmpty.Sub(now)), leastRetry), mostRetry)
 }
 
 // Return gives back the tokens of a request that did not run.
@@ -106,7 +172,7 @@
 	var out []Use
 	for name, b := range h.teams {
 		b.refill(now)
-		u := Use{Team: name, Asked: b.asked, Debt: max(0, -b.level)}
+		u := Use{Team: name, Asked: b.asked, Debt: max(0, -b.level), Waiting: b.unlent()}
 		if now.Before(b.ends) {
 			u.Fraction = b.part.Fraction
 		}
@@ -146,6 +212,10 @@
 		}
 		b.part, b.ends = p, sent.Add(p.Valid)
 		b.level = min(b.level, p.Burst)
+		if len(b.waiters) > 0 {
+			b.lent += p.Lent
+		}
+		b.poolEmpty = now.Add(p.PoolWait)
 	}
 }
 
--- /dev/null
+++ b/internal/share/pool.go
@@ -0,0 +1,92 @@
+package share
+
+import "time"
+
+// fewHosts and manyHosts bound the numbers of hosts between which the pool grows
+// from poolLeast to poolMost of each rate. With 9 hosts the divided rest gives a
+// host a fifteenth of a rate, which one large request overdraws for seconds; with
+// 70 it gives less than a request a second. While no leader lends, the hosts have
+// the rest only.
+const (
+	fewHosts  = 10
+	manyHosts = 50
+	poolLeast = 0.3
+	poolMost  = 0.7
+)
+
+// poolPart is the part of each rate that is not divided.
+func (d *Divider) poolPart() float64 {
+	grown := float64(len(d.hosts)-fewHosts) / (manyHosts - fewHosts)
+	return poolLeast + (poolMost-poolLeast)*min(max(grown, 0), 1)
+}
+
+// pools holds the pool of each team.
+type pools map[string]*pool
+
+// pool is the undivided part of a team's rate.
+type pool struct {
+	rate  Rate
+	level float64
+	at    time.Time
+}
+
+func (p *pool) refill(now time.Time) {
+	p.level = min(p.level+p.rate.PerSecond*now.Sub(p.at).Seconds(), p.rate.Burst)
+	p.at = now
+}
+
+// fillPools brings the pools up to date with the rates. Pools of a new leader are
+// empty, because the earlier one may have lent what was in them; when there was no
+// earlier one, or the team is new, they are full.
+func (d *Divider) fillPools(now time.Time) {
+	for team, rate := range d.rates {
+		p := d.pools[team]
+		if p == nil {
+			p = &pool{at: now}
+			if !d.earlier && now.Sub(d.start) >= settle {
+				p.level = rate.Burst
+			}
+			d.pools[team] = p
+		}
+		p.rate = rate.times(d.poolPart())
+		p.refill(now)
+	}
+	for team := range d.pools {
+		if _, ok := d.rates[team]; !ok {
+			delete(d.pools, team)
+		}
+	}
+}
+
+// lend adds to the parts what the pools have for the requests that wait.
+func (d *Divider) lend(parts []Part, uses []Use) {
+	for _, u := range uses {
+		for i := range parts {
+			if parts[i].Team == u.Team {
+				parts[i].Lent, parts[i].PoolWait = d.pools[u.Team].lend(u.Waiting)
+			}
+		}
+	}
+}
+
+// lend returns the tokens for the requests that can pass, in their order, and when
+// the next one may. The last one may overdraw the pool, so that large requests do
+// not starve behind small ones.
+func (p *pool) lend(requests []float64) (lent float64, wait time.Duration) {
+	for _, tokens := range requests {
+		if p.level <= 0 {
+			return lent, p.wait()
+		}
+		p.level -= tokens
+		lent += tokens
+	}
+	return lent, 0
+}
+
+// wait returns how long the pool stays empty.
+func (p *pool) wait() time.Duration {
+	if p.rate.PerSecond <= 0 {
+		return mostRetry
+	}
+	return min(max(time.Duration(-p.level/p.rate.PerSecond*float64(time.Second)), leastRetry), mostRetry)
+}
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -44,6 +45,7 @@
 	}
 	asked, passed = make([]float64, 24), make([]float64, 24)
 	changed := d.to == 0
+	queues := make([]queue, d.hosts)
 	for ms := range 24_000 {
 		at := time.Duration(ms) * time.Millisecond
 		now := start.Add(at)
@@ -59,7 +61,8 @@
 		}
 		for i, h := range holders {
 			away := at >= d.from && at < d.to || i < d.cut && at >= d.from
-			if ms%250 == i*7%250 && !away {
+			if (ms%250 == i*7%250 || queues[i].hurried(ms)) && !away {
+				queues[i].exchanged = ms
 				uses := h.Report(now)
 				if d.blind {
 					uses = nil
@@ -67,20 +70,64 @@
 				h.Reported(true)
 				h.Apply(leader.Report(fmt.Sprint(i), uses, now), now, now)
 			}
+			passed[ms/1000] += queues[i].poll(now)
 			size := d.size(rng)
 			mean := 1100.0
 			if rng.Float64() > d.demand(i, at)/mean/1000 {
 				continue
 			}
 			asked[ms/1000] += float64(size)
-			if ok, _ := h.Take("red", size, now); ok {
+			if ok, retry := h.Take("red", size, now); ok {
 				passed[ms/1000] += float64(size)
+			} else if retry <= patience {
+				queues[i].list = append(queues[i].list, waiting{h.Wait("red", size), size, now.Add(patience)})
 			}
 		}
 	}
+	for _, q := range queues {
+		for _, r := range q.list {
+			asked[len(asked)-1] -= float64(r.size) // neither passed nor refused yet
+		}
+	}
 	return asked, passed
 }
 
+// patience is how long a request waits for tokens: a third of an objective of
+// 600 ms, as in package gateway.
+const patience = 200 * time.Millisecond
+
+// queue holds the requests of one host that wait for tokens.
+type queue struct {
+	list      []waiting
+	exchanged int
+}
+
+type waiting struct {
+	w    *Waiter
+	size uint64
+	ends time.Time
+}
+
+// hurried tells whether the host exchanges out of turn.
+func (q *queue) hurried(ms int) bool { return len(q.list) > 0 && ms-q.exchanged >= 100 }
+
+// poll returns the tokens of the requests that pass now.
+func (q *queue) poll(now time.Time) float64 {
+	passed := 0.0
+	q.list = slices.DeleteFunc(q.list, func(r waiting) bool {
+		ok, retry := r.w.Try(now)
+		if ok {
+			passed += float64(r.size)
+		}
+		if ok || retry > patience || now.After(r.ends) {
+			r.w.End()
+			return true
+		}
+		return false
+	})
+	return passed
+}
+
 func sum(list []float64) float64 {
 	total := 0.0
 	for _, v := range list {
@@ -257,3 +304,75 @@
 	h.Apply(part(0.9), now, now)
 	must.Eq(t, 0, spend())
 }
+
+// mostRefused is the part of the requests of a team within its rate that may be
+// refused: one in 500, which the contract allows for other wrong refusals.
+const mostRefused = 1.0 / 500
+
+// A team at half its rate must not be refused because its rate is divided: with a
+// large request now and then a host's part is overdrawn for seconds, and with 70
+// hosts a part is worth less than a request a second.
+func TestWithinRate(t *testing.T) {
+	for _, hosts := range []int{9, 70} {
+		for seed := range uint64(3) {
+			asked, passed := day{seed: seed, hosts: hosts, demand: even(perSecond/2, hosts), size: mixed}.play(t)
+			refused := 1 - sum(passed[2:])/sum(asked[2:])
+			must.LessEq(t, mostRefused, refused, must.Sprint(hosts, " hosts"))
+		}
+	}
+}
+
+// Tokens of the pool must be lent once, and only as far as they are there.
+func TestPool(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDivider(now)
+	d.SetRates(map[string]Rate{"red": {perSecond, burst}})
+	now = now.Add(settle)
+	ask := func(host string, tokens ...float64) Part {
+		return d.Report(host, []Use{{Team: "red", Waiting: tokens}}, now)[0]
+	}
+	must.Eq(t, 8_000, ask("a", 6_000, 2_000).Lent)
+	p := ask("b", 4_000, 500)
+	must.Eq(t, 4_000, p.Lent, must.Sprint("the last request may overdraw the pool"))
+	must.Eq(t, time.Second/3, p.PoolWait, must.Sprint("a debt of 3,000 at 9,000 a second"))
+	must.Eq(t, 0, ask("a", 100).Lent)
+	d.SetRates(nil)
+	must.SliceEmpty(t, d.Report("a", nil, now))
+	must.MapEmpty(t, d.pools)
+}
+
+// The pool of a new leader must be empty, as the earlier one may have lent it.
+func TestPoolOfNewLeader(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDivider(now)
+	d.SetRates(map[string]Rate{"red": {perSecond, burst}})
+	d.Report("a", []Use{{Team: "red", Fraction: 0.5}}, now)
+	parts := d.Report("a", []Use{{Team: "red", Fraction: 0.5, Waiting: []float64{6_000}}}, now.Add(settle))
+	must.Len(t, 1, parts)
+	must.Eq(t, 0, parts[0].Lent)
+}
+
+// Lent tokens must reach the request that waits, although the host's part is
+// overdrawn, and must not be kept for others.
+func TestLentTokensAreUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := NewHolder()
+	part := Part{Team: "red", PerSecond: 100, Burst: 100, Fraction: 0.1, Valid: time.Hour}
+	h.Apply([]Part{part}, now, now)
+	ok, _ := h.Take("red", 5_000, now)
+	must.True(t, ok)
+	ok, _ = h.Take("red", 2_000, now)
+	must.False(t, ok)
+	w := h.Wait("red", 2_000)
+	must.Eq(t, []float64{2_000}, h.Report(now)[0].Waiting)
+	part.Lent = 3_000
+	h.Apply([]Part{part}, now, now)
+	now = now.Add(time.Millisecond)
+	ok, _ = w.Try(now)
+	must.True(t, ok)
+	w.End()
+	must.SliceEmpty(t, h.Report(now)[0].Waiting)
+	w = h.Wait("red", 500)
+	ok, _ = w.Try(now)
+	must.False(t, ok)
+}
