Decide repeats and what a request may say of its run in one place

The OpenAI front and the gateway each had rules of their own for when another attempt may follow, for what an error may say about the run after several attempts, and for the identity of a request. The loops of entry (models, plain services) and gateway now ask package attempts. The gateway's fingerprint joined its parts without their sizes; it has their sizes now.

No change of behaviour is meant. The tests of both fronts pass unchanged but for the function's name in entry/dispatch_test.go.

--- /dev/null
+++ b/internal/attempts/fingerprint.go
@@ -0,0 +1,19 @@
+package attempts
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+)
+
+// Fingerprint identifies what a request asks for. The parts are length-prefixed,
+// so that two different requests never hash the same bytes.
+func Fingerprint(parts ...[]byte) []byte {
+	h := sha256.New()
+	for _, part := range parts {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		h.Write(size[:])
+		h.Write(part)
+	}
+	return h.Sum(nil)
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/jasminesaddle/jasminesaddle/internal/attempts"
 	"github.com/jasminesaddle/jasminesaddle/internal/engine"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/openai"
@@ -38,17 +39,21 @@
 
 // attempts runs the request until an attempt succeeds or its failure is final.
 func (s *Server) attempts(ctx context.Context, w *work, call *modelCall) error {
-	var earlier error
-	for n := 1; ; n++ {
-		v, err := s.attempt(ctx, w, call, n)
-		err = withEarlierOutcome(err, earlier)
-		if err == nil || v == final || w.x.started || n >= s.limits.Attempts {
-			return err
+	tries := attempts.New(attempts.Limits{Sends: s.limits.Attempts, Runs: s.limits.Attempts})
+	for {
+		tries.Send()
+		v, err := s.attempt(ctx, w, call, tries.Sends())
+		if err == nil || v == final || w.x.started {
+			return tries.Truth(err)
 		}
-		if s.firstByteLeft(w) <= 0 || (v == retryable && (!s.hasOther(w) || !s.budget.Take(s.now()))) {
-			return err
+		tries.Failed(err)
+		next := attempts.Next{
+			Repeatable: true, Left: s.firstByteLeft(w), Free: v == reroute,
+			HasOther: func() bool { return s.hasOther(w) },
+		}
+		if !tries.May(next, s.budget, s.now()) {
+			return tries.Truth(err)
 		}
-		earlier = err
 		step := stepRetry
 		if v == reroute {
 			step = stepReroute
@@ -56,27 +61,13 @@
 		} else {
 			s.metrics.retries.Add(1)
 		}
-		s.decide(w.x, step, string(fault.KindOf(err)), n)
+		s.decide(w.x, step, string(fault.KindOf(err)), tries.Sends())
 		if err := s.requeue(ctx, w); err != nil {
-			return withEarlierOutcome(err, earlier)
+			return tries.Truth(err)
 		}
 	}
 }
 
-// withEarlierOutcome returns the error that a request ends with after an earlier attempt
-// failed. A later attempt that did not run says nothing about the earlier one.
-func withEarlierOutcome(err, earlier error) error {
-	if err == nil || earlier == nil || runOf(err) != fault.NotRun || runOf(earlier) == fault.NotRun {
-		return err
-	}
-	e, ok := fault.As(err)
-	if ok && (e.Kind == fault.KindKeyWithdrawn || e.Kind == fault.KindStaleView) {
-		copied := *e
-		return copied.WithRun(runOf(earlier))
-	}
-	return earlier
-}
-
 // firstByteLeft returns what is left of the time to the first byte.
 func (s *Server) firstByteLeft(w *work) time.Duration {
 	return s.firstByte(w) - s.now().Sub(w.x.received)
@@ -204,7 +195,7 @@
 // refused decides what the status of an engine's answer means. Engines send
 // these refusals before they run anything.
 func (s *Server) refused(a *attempt, status int, err error) (verdict, error) {
-	run := runOf(err)
+	run := attempts.RunOf(err)
 	if run == fault.NotRun {
 		a.w.used = 0
 	}
--- a/internal/entry/dispatch_test.go
+++ b/internal/entry/dispatch_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/attempts"
 	"github.com/jasminesaddle/jasminesaddle/internal/standin"
 )
 
@@ -50,7 +51,7 @@
 		must.Len(t, len(marks), f.s.Report().GetCrashes(), must.Sprint("marks of an unanswered report are lost"))
 		var fp []byte
 		f.apply(func(resp *apiv1.ReportResponse) {
-			fp = fingerprint("red", "v1", "a:1", []byte(poison))
+			fp = attempts.Fingerprint([]byte("red"), []byte("v1"), []byte("a:1"), []byte(poison))
 			resp.Quarantined = append(resp.Quarantined, &apiv1.Quarantined{Fingerprint: fp, RemainingMs: 200})
 		})
 		must.SliceEmpty(t, f.s.Report().GetCrashes())
@@ -69,7 +70,7 @@
 		f.apply(func(resp *apiv1.ReportResponse) {
 			for i := range 3 {
 				resp.Suspects = append(resp.Suspects, &apiv1.Suspect{
-					Fingerprint: fingerprint("red", "v1", "a:1", []byte(completion("a:1", fmt.Sprint(i), 40, false)))})
+					Fingerprint: attempts.Fingerprint([]byte("red"), []byte("v1"), []byte("a:1"), []byte(completion("a:1", fmt.Sprint(i), 40, false)))})
 			}
 		})
 		var wg sync.WaitGroup
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/binary"
 	"net/http"
 	"slices"
 	"strings"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/attempts"
 	"github.com/jasminesaddle/jasminesaddle/internal/config"
 	"github.com/jasminesaddle/jasminesaddle/internal/fairqueue"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
@@ -53,7 +52,7 @@
 	x.adapter = w.model
 	w.tokens = req.PromptTokens + req.MaxTokens
 	w.cost = w.tokens
-	w.fingerprint = fingerprint(x.team, x.routeName(), w.model, body)
+	w.fingerprint = attempts.Fingerprint([]byte(x.team), []byte(x.routeName()), []byte(w.model), body)
 	if w.suspect, err = s.crashes.check(w.fingerprint, s.now()); err != nil {
 		return err
 	}
@@ -114,26 +113,6 @@
 		At("model").WithRun(fault.NotRun)
 }
 
-// fingerprint identifies what a request asks for. The parts are length-prefixed,
-// so that two different requests never hash the same bytes.
-func fingerprint(parts ...any) []byte {
-	h := sha256.New()
-	for _, part := range parts {
-		var data []byte
-		switch v := part.(type) {
-		case string:
-			data = []byte(v)
-		case []byte:
-			data = v
-		}
-		var size [8]byte
-		binary.BigEndian.PutUint64(size[:], uint64(len(data)))
-		h.Write(size[:])
-		h.Write(data)
-	}
-	return h.Sum(nil)
-}
-
 // modelList caches the sorted adapters of one configuration.
 type modelList struct {
 	cfg      *config.Snapshot
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -9,6 +9,7 @@
 	"time"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/attempts"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/hygiene"
 	"github.com/jasminesaddle/jasminesaddle/internal/pool"
@@ -43,7 +44,7 @@
 	call.header.Set("Idempotency-Key", key)
 	id := &apiv1.CallId{Team: x.team, Route: x.routeName(), IdempotencyKey: key}
 	begin := &apiv1.BeginCall{
-		Id: id, Fingerprint: fingerprint(call.method, call.path, call.query, call.body),
+		Id: id, Fingerprint: attempts.Fingerprint([]byte(call.method), []byte(call.path), []byte(call.query), call.body),
 		Owner: s.opts.Host, OwnerIncarnation: s.opts.Incarnation, RequestId: x.id,
 	}
 	resp, err := s.begin(ctx, begin)
@@ -204,7 +205,7 @@
 	resp, id, err := s.sendOnce(own, w, call)
 	if err != nil {
 		state := apiv1.CallState_CALL_STATE_UNKNOWN
-		if runOf(err) == fault.NotRun {
+		if attempts.RunOf(err) == fault.NotRun {
 			state = apiv1.CallState_CALL_STATE_NOT_RUN
 		}
 		s.finishRecord(own, begin, state, nil, false)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -12,6 +12,7 @@
 	"time"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/attempts"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/hygiene"
 	"github.com/jasminesaddle/jasminesaddle/internal/pool"
@@ -101,21 +102,25 @@
 	if err := s.admit(ctx, w); err != nil {
 		return err
 	}
-	var earlier error
-	for n := 1; ; n++ {
-		err := withEarlierOutcome(s.serviceAttempt(ctx, w, call, n), earlier)
-		if err == nil || x.started || n >= s.limits.Attempts || !retryableService(err) {
-			return err
+	tries := attempts.New(attempts.Limits{Sends: s.limits.Attempts, Runs: s.limits.Attempts})
+	for {
+		tries.Send()
+		err := s.serviceAttempt(ctx, w, call, tries.Sends())
+		if err == nil || x.started || !retryableService(err) {
+			return tries.Truth(err)
 		}
+		tries.Failed(err)
 		w.excluded = append(w.excluded, w.share.server)
-		if s.firstByteLeft(w) <= 0 || !s.hasOther(w) || !s.budget.Take(s.now()) {
-			return err
+		next := attempts.Next{
+			Repeatable: true, Left: s.firstByteLeft(w), HasOther: func() bool { return s.hasOther(w) },
+		}
+		if !tries.May(next, s.budget, s.now()) {
+			return tries.Truth(err)
 		}
-		earlier = err
 		s.metrics.retries.Add(1)
-		s.decide(x, stepRetry, string(fault.KindOf(err)), n)
+		s.decide(x, stepRetry, string(fault.KindOf(err)), tries.Sends())
 		if err := s.requeue(ctx, w); err != nil {
-			return withEarlierOutcome(err, earlier)
+			return tries.Truth(err)
 		}
 	}
 }
@@ -147,7 +152,7 @@
 	resp, err := s.opts.Pools.Transport(server).RoundTrip(req)
 	if err != nil {
 		if ctx.Err() != nil {
-			return ended(ctx, runOf(err))
+			return ended(ctx, attempts.RunOf(err))
 		}
 		s.report(server, false)
 		return err
@@ -162,14 +167,6 @@
 	return err
 }
 
-// runOf returns what an error of the pool says about the run.
-func runOf(err error) fault.Run {
-	if e, ok := fault.As(err); ok && e.Run != "" {
-		return e.Run
-	}
-	return fault.OutcomeUnknown
-}
-
 // checkEcho refuses an answer that belongs to another request. Plain services
 // need not know the header, so that a missing one is accepted; connections
 // carry one request at a time, which keeps late answers apart.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/attempts"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/h1"
 )
@@ -56,6 +57,7 @@
 func (f *flight) run(ctx context.Context) error {
 	budget := f.g.budget(f.service.Name)
 	budget.First()
+	f.tries = attempts.New(attempts.Limits{Sends: maxSends, Runs: max(f.route.MaxAttempts, 1), Least: leastWork})
 	if f.r.Generation {
 		f.g.use.arrive(f.r.Weights, f.r.PromptTokens)
 	}
@@ -73,13 +75,13 @@
 		}
 		var v verdict
 		v, answer, failure = f.attempt(ctx, p, answer)
-		f.attempts = append(f.attempts, attempt{p.server.Instance, v.String(), f.g.opts.Now().Sub(began)})
+		f.tries.Failed(failure)
+		f.log = append(f.log, attempt{p.server.Instance, v.String(), f.g.opts.Now().Sub(began)})
 		f.g.metrics.attempts.Add(v.String(), 1)
 		if v == delivered {
 			return nil
 		}
-		paid := f.repeatPaid.Swap(false)
-		if v == over || !f.mayRepeat(ctx, v) || !paid && !budget.Take(f.g.opts.Now()) {
+		if v == over || ctx.Err() != nil || !f.tries.May(f.next(v), budget, f.g.opts.Now()) {
 			break
 		}
 		f.g.metrics.repeats.Add(1)
@@ -87,18 +89,16 @@
 	return f.conclude(answer, failure)
 }
 
-// mayRepeat tells whether another attempt is allowed after this verdict.
-func (f *flight) mayRepeat(ctx context.Context, v verdict) bool {
-	if ctx.Err() != nil || f.sends >= maxSends || f.deadline.Sub(f.g.opts.Now()) < leastWork {
-		return false
-	}
-	if v == notRun && f.ran == 0 {
-		return true
-	}
+// next describes the request after a failed attempt.
+func (f *flight) next(v verdict) attempts.Next {
+	repeatable := f.route.Repeatable
 	if f.started && (!f.route.Resumable || f.events.last == "") {
-		return false
+		repeatable = false
+	}
+	return attempts.Next{
+		NotRun: v == notRun, Repeatable: repeatable, Left: f.deadline.Sub(f.g.opts.Now()),
+		Free: f.repeatPaid.Swap(false),
 	}
-	return f.route.Repeatable && f.ran < max(f.route.MaxAttempts, 1)
 }
 
 // conclude ends a request that was not delivered.
@@ -133,7 +133,7 @@
 	instance := p.server.Instance
 	t := f.g.use.begin(instance, f.r.Weights, p.tokens, now)
 	defer t.end()
-	f.sends++
+	f.tries.Send()
 	f.refused[instance] = true
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -149,7 +149,7 @@
 	if answer.NotRun {
 		return f.declined(p, answer), last, f.notRunError(answer)
 	}
-	f.ran++
+	f.tries.MayHaveRun()
 	if answer.Status >= 300 || !answer.Genuine {
 		return f.errorAnswer(p, answer, last)
 	}
@@ -200,7 +200,7 @@
 	var he *h1.Error
 	sent := !errors.As(err, &he) || he.Sent
 	if sent {
-		f.ran++
+		f.tries.MayHaveRun()
 	}
 	if ctx.Err() != nil && f.deadlineOrGone(ctx) {
 		return over, f.gone(ctx, sent)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jasminesaddle/jasminesaddle/internal/attempts"
 	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
@@ -43,14 +43,16 @@
 	reserved uint64
 	print    []byte
 
-	// ran counts the attempts that may have run, sends all attempts.
-	ran, sends, loads int
-	refused, missing  map[string]bool
-	attempts          []attempt
-	events            eventReader
-	started           bool
-	firstAt           time.Time
-	status            int
+	tries attempts.Attempts
+	// loads counts the questions for a load of the adapter.
+	loads            int
+	refused, missing map[string]bool
+	// log holds what is logged of each attempt.
+	log     []attempt
+	events  eventReader
+	started bool
+	firstAt time.Time
+	status  int
 	// brokenOff is why a begun answer was broken off.
 	brokenOff error
 	// pinned is true once the answer has begun and cannot go on elsewhere.
@@ -73,9 +75,7 @@
 	defer g.count(-1)
 	f := &flight{g: g, r: r, w: w, refused: map[string]bool{}, missing: map[string]bool{}}
 	err := f.serve(ctx)
-	if err != nil && f.ran > 0 {
-		err = mayHaveRun(err)
-	}
+	err = f.tries.Truth(err)
 	g.spread(err)
 	f.finish(ctx, err)
 	return err
@@ -92,17 +92,6 @@
 // spreadPart is the width over which times to come back are spread, as a part.
 const spreadPart = 0.5
 
-// mayHaveRun keeps a refusal of a later attempt from hiding that an earlier one
-// may have run.
-func mayHaveRun(err error) error {
-	e, ok := fault.As(err)
-	if ok && e.Run == fault.NotRun {
-		return fault.Wrap(err, fault.KindBackendFailed, "an earlier attempt may have run", "send the request again if it may be repeated").
-			WithRun(fault.OutcomeUnknown)
-	}
-	return err
-}
-
 func (f *flight) serve(ctx context.Context) error {
 	v := f.g.opts.Fleet.View()
 	now := f.g.opts.Now()
@@ -187,15 +176,11 @@
 
 // fingerprint identifies a request that a caller sends again.
 func (f *flight) fingerprint() []byte {
-	h := sha256.New()
+	team := ""
 	if f.team != nil {
-		h.Write([]byte(f.team.Name))
+		team = f.team.Name
 	}
-	h.Write([]byte{0})
-	h.Write([]byte(f.r.Method + " " + f.r.Host + f.r.Target))
-	h.Write([]byte{0})
-	h.Write(f.r.Body)
-	return h.Sum(nil)
+	return attempts.Fingerprint([]byte(team), []byte(f.r.Method), []byte(f.r.Host), []byte(f.r.Target), f.r.Body)
 }
 
 // reserve takes the request's tokens from the host's part of the team's rate. It
@@ -245,7 +230,7 @@
 
 // settle returns the tokens of a request that did not run.
 func (f *flight) settle() {
-	if f.reserved > 0 && f.ran == 0 {
+	if f.reserved > 0 && f.tries.NeverRan() {
 		f.g.opts.Rates.Return(f.team.Name, f.reserved)
 	}
 }
@@ -257,7 +242,7 @@
 	f.g.metrics.requests.Add(outcome, 1)
 	f.g.metrics.total.Observe(now.Sub(f.r.Received))
 	e := f.g.log.Info().Str("event", "request").Str("request", f.r.ID).Str("outcome", outcome).
-		Uint64("revision", f.revision).Dur("view_age", f.viewAge).Dur("took", now.Sub(f.r.Received)).Int("sends", f.sends)
+		Uint64("revision", f.revision).Dur("view_age", f.viewAge).Dur("took", now.Sub(f.r.Received)).Int("sends", f.tries.Sends())
 	if f.route != nil {
 		e = e.Str("route", f.route.Name)
 	}
@@ -270,7 +255,7 @@
 	if !f.firstAt.IsZero() {
 		e = e.Dur("first", f.firstAt.Sub(f.r.Received)).Int("events", f.events.events)
 	}
-	for _, a := range f.attempts {
+	for _, a := range f.log {
 		e = e.Str("server", a.instance).Str("attempt", a.outcome).Dur("attempt_took", a.took)
 	}
 	if err == nil {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -37,7 +37,7 @@
 // watch starts the watch of an attempt.
 func (f *flight) watch(cancel context.CancelFunc, instance string, began time.Time) *silenceWatch {
 	w := &silenceWatch{f: f, cancel: cancel, instance: instance, began: began}
-	if !f.route.Repeatable || f.ran+1 >= max(f.route.MaxAttempts, 1) {
+	if !f.route.Repeatable || f.tries.LastRun() {
 		return w
 	}
 	w.mu.Lock()
