--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,6 +60,8 @@
 	edit func(*Options)
 	// maxSize bounds the data folders of hosts that are started.
 	maxSize int
+	// stalls holds how long each save of a host takes.
+	stalls map[string]*atomic.Int64
 
 	mu   sync.Mutex
 	up   map[string]*host
@@ -80,7 +83,7 @@
 }
 
 func newFleet(t testing.TB, edit func(*Options)) *fleet {
-	f := &fleet{t: t, dirs: map[string]string{}, up: map[string]*host{}, cuts: map[string]bool{}, acked: map[string]acknowledged{}, deaf: map[string]bool{}, edit: edit}
+	f := &fleet{t: t, dirs: map[string]string{}, up: map[string]*host{}, cuts: map[string]bool{}, acked: map[string]acknowledged{}, deaf: map[string]bool{}, stalls: map[string]*atomic.Int64{}, edit: edit}
 	t.Cleanup(func() {
 		// A failed test leaves hosts running, which would hide its message.
 		for _, h := range f.up {
@@ -144,7 +147,13 @@
 	if f.dirs[name] == "" {
 		f.dirs[name] = f.t.TempDir()
 	}
-	store, err := storage.Open(f.dirs[name], storage.Options{MaxSize: f.maxSize})
+	if f.stalls[name] == nil {
+		f.stalls[name] = &atomic.Int64{}
+	}
+	stall := f.stalls[name]
+	store, err := storage.Open(f.dirs[name], storage.Options{
+		MaxSize: f.maxSize, BeforeSave: func() { time.Sleep(time.Duration(stall.Load())) },
+	})
 	must.NoError(f.t, err)
 	var list []*apiv1.Member
 	for _, n := range first {
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -41,6 +41,8 @@
 	MaxSize int
 	// NoSync leaves out the sync of each save. Only simulations may set it.
 	NoSync bool
+	// BeforeSave is called before each save, so that simulations can stall a disk.
+	BeforeSave func()
 }
 
 // Identity names a data folder and one run on it.
@@ -81,6 +83,8 @@
 	saves  uint64
 	broken error
 	loaded loaded
+	// beforeSave is the hook of simulations; nil in programs.
+	beforeSave func()
 }
 
 // Open opens the data folder and counts a boot. It creates the folder and the
@@ -90,6 +94,7 @@
 		return nil, ioError(err, "cannot create the data folder")
 	}
 	s := &Store{}
+	s.beforeSave = opts.BeforeSave
 	err := guard(func() error { return s.open(filepath.Join(dir, FileName), opts) })
 	if err != nil {
 		if s.db != nil {
@@ -206,6 +211,9 @@
 	if s.broken != nil {
 		return s.broken
 	}
+	if s.beforeSave != nil {
+		s.beforeSave()
+	}
 	var id uint64
 	err := s.db.Update(func(tx *bbolt.Tx) error {
 		id = uint64(tx.ID())
