Lend by a call of its own; add up the uses of a rate as they change

Cause: a host whose requests waited for tokens exchanged with the leader out of turn, up to ten times a second.

Ruled out: elections (the leader stayed), the pool itself (429s came with the lost exchanges).

Loans go by Lend, which carries only the requests that wait. Exchanges keep their interval.

--- a/internal/api/v1/apiv1connect/coordination.connect.go
+++ b/internal/api/v1/apiv1connect/coordination.connect.go
@@ -42,6 +42,9 @@
 	// CoordinationServiceAcquireProcedure is the fully-qualified name of the CoordinationService's
 	// Acquire RPC.
 	CoordinationServiceAcquireProcedure = "/jasmine.v1.CoordinationService/Acquire"
+	// CoordinationServiceLendProcedure is the fully-qualified name of the CoordinationService's Lend
+	// RPC.
+	CoordinationServiceLendProcedure = "/jasmine.v1.CoordinationService/Lend"
 	// CoordinationServiceJoinProcedure is the fully-qualified name of the CoordinationService's Join
 	// RPC.
 	CoordinationServiceJoinProcedure = "/jasmine.v1.CoordinationService/Join"
@@ -57,6 +60,8 @@
 	Exchange(context.Context, *v1.ExchangeRequest) (*v1.ExchangeResponse, error)
 	// Acquire asks for an engine that holds an adapter, and loads it if need be.
 	Acquire(context.Context, *v1.AcquireRequest) (*v1.AcquireResponse, error)
+	// Lend lends tokens of the teams' pools to requests that wait at an entry host.
+	Lend(context.Context, *v1.LendRequest) (*v1.LendResponse, error)
 	// Join offers a control host as a member of the replicated log.
 	Join(context.Context, *v1.JoinRequest) (*v1.JoinResponse, error)
 	// Execute has a control host give an order to an engine that it holds.
@@ -86,6 +91,12 @@
 			connect.WithSchema(coordinationServiceMethods.ByName("Acquire")),
 			connect.WithClientOptions(opts...),
 		),
+		lend: connect.NewClient[v1.LendRequest, v1.LendResponse](
+			httpClient,
+			baseURL+CoordinationServiceLendProcedure,
+			connect.WithSchema(coordinationServiceMethods.ByName("Lend")),
+			connect.WithClientOptions(opts...),
+		),
 		join: connect.NewClient[v1.JoinRequest, v1.JoinResponse](
 			httpClient,
 			baseURL+CoordinationServiceJoinProcedure,
@@ -105,6 +116,7 @@
 type coordinationServiceClient struct {
 	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
 	acquire  *connect.Client[v1.AcquireRequest, v1.AcquireResponse]
+	lend     *connect.Client[v1.LendRequest, v1.LendResponse]
 	join     *connect.Client[v1.JoinRequest, v1.JoinResponse]
 	execute  *connect.Client[v1.ExecuteRequest, v1.ExecuteResponse]
 }
@@ -127,6 +139,15 @@
 	return nil, err
 }
 
+// Lend calls jasmine.v1.CoordinationService.Lend.
+func (c *coordinationServiceClient) Lend(ctx context.Context, req *v1.LendRequest) (*v1.LendResponse, error) {
+	response, err := c.lend.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // Join calls jasmine.v1.CoordinationService.Join.
 func (c *coordinationServiceClient) Join(ctx context.Context, req *v1.JoinRequest) (*v1.JoinResponse, error) {
 	response, err := c.join.CallUnary(ctx, connect.NewRequest(req))
@@ -152,6 +173,8 @@
 	Exchange(context.Context, *v1.ExchangeRequest) (*v1.ExchangeResponse, error)
 	// Acquire asks for an engine that holds an adapter, and loads it if need be.
 	Acquire(context.Context, *v1.AcquireRequest) (*v1.AcquireResponse, error)
+	// Lend lends tokens of the teams' pools to requests that wait at an entry host.
+	Lend(context.Context, *v1.LendRequest) (*v1.LendResponse, error)
 	// Join offers a control host as a member of the replicated log.
 	Join(context.Context, *v1.JoinRequest) (*v1.JoinResponse, error)
 	// Execute has a control host give an order to an engine that it holds.
@@ -177,6 +200,12 @@
 		connect.WithSchema(coordinationServiceMethods.ByName("Acquire")),
 		connect.WithHandlerOptions(opts...),
 	)
+	coordinationServiceLendHandler := connect.NewUnaryHandlerSimple(
+		CoordinationServiceLendProcedure,
+		svc.Lend,
+		connect.WithSchema(coordinationServiceMethods.ByName("Lend")),
+		connect.WithHandlerOptions(opts...),
+	)
 	coordinationServiceJoinHandler := connect.NewUnaryHandlerSimple(
 		CoordinationServiceJoinProcedure,
 		svc.Join,
@@ -195,6 +224,8 @@
 			coordinationServiceExchangeHandler.ServeHTTP(w, r)
 		case CoordinationServiceAcquireProcedure:
 			coordinationServiceAcquireHandler.ServeHTTP(w, r)
+		case CoordinationServiceLendProcedure:
+			coordinationServiceLendHandler.ServeHTTP(w, r)
 		case CoordinationServiceJoinProcedure:
 			coordinationServiceJoinHandler.ServeHTTP(w, r)
 		case CoordinationServiceExecuteProcedure:
@@ -216,6 +247,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jasmine.v1.CoordinationService.Acquire is not implemented"))
 }
 
+func (UnimplementedCoordinationServiceHandler) Lend(context.Context, *v1.LendRequest) (*v1.LendResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jasmine.v1.CoordinationService.Lend is not implemented"))
+}
+
 func (UnimplementedCoordinationServiceHandler) Join(context.Context, *v1.JoinRequest) (*v1.JoinResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jasmine.v1.CoordinationService.Join is not implemented"))
 }
--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -242,6 +242,29 @@
 // a second, and the weight store works off its queue meanwhile.
 const noPlaceRetry = 700 * time.Millisecond
 
+// Lend lends tokens to requests that wait at an entry host.
+func (c *Coordinator) Lend(_ context.Context, req *apiv1.LendRequest) (*apiv1.LendResponse, error) {
+	resp := &apiv1.LendResponse{Leadership: c.Leadership()}
+	l := c.leading()
+	if l == nil {
+		resp.Leadership.Leading = false
+		return resp, nil
+	}
+	wants := make([]share.Want, 0, len(req.GetWants()))
+	for _, w := range req.GetWants() {
+		wants = append(wants, share.Want{Team: w.GetTeam(), Waiting: w.GetWaiting()})
+	}
+	c.metrics.loans.Add(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, loan := range l.divider.Lend(wants, c.opts.Now()) {
+		resp.Loans = append(resp.Loans, &apiv1.TeamLoan{
+			Team: loan.Team, Tokens: loan.Tokens, WaitMs: uint32(loan.Wait.Milliseconds()),
+		})
+	}
+	return resp, nil
+}
+
 // Join takes the offer of a control host.
 func (c *Coordinator) Join(_ context.Context, req *apiv1.JoinRequest) (*apiv1.JoinResponse, error) {
 	return c.opts.Log.Join(req), nil
@@ -252,14 +275,12 @@
 func (l *leader) addParts(req *apiv1.ExchangeRequest, resp *apiv1.ExchangeResponse, now time.Time) {
 	uses := make([]share.Use, 0, len(req.GetUses()))
 	for _, u := range req.GetUses() {
-		uses = append(uses, share.Use{
-			Team: u.GetTeam(), Asked: u.GetAsked(), Debt: u.GetDebt(), Fraction: u.GetFraction(), Waiting: u.GetWaiting(),
-		})
+		uses = append(uses, share.Use{Team: u.GetTeam(), Asked: u.GetAsked(), Debt: u.GetDebt(), Fraction: u.GetFraction()})
 	}
 	for _, p := range l.divider.Report(req.GetHost(), uses, now) {
 		resp.Parts = append(resp.Parts, &apiv1.TeamPart{
 			Team: p.Team, TokensPerSecond: p.PerSecond, BurstTokens: p.Burst, Fraction: p.Fraction,
-			ValidMs: uint32(p.Valid.Milliseconds()), LentTokens: p.Lent, PoolWaitMs: uint32(p.PoolWait.Milliseconds()),
+			ValidMs: uint32(p.Valid.Milliseconds()),
 		})
 	}
 }
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -23,9 +23,6 @@
 	// tryTimeout bounds one call. A leader answers within a few ms; a silent one
 	// must not cost more than an election does.
 	tryTimeout = 400 * time.Millisecond
-	// urgentGap is the least time between two exchanges, so that a team beyond its
-	// rate does not make the host ask all the time.
-	urgentGap = 100 * time.Millisecond
 	// retryGap is the time between two rounds over the control hosts when none leads.
 	retryGap = 100 * time.Millisecond
 	// listAfter is how old a view is when the host reads the platform's list
@@ -39,6 +36,7 @@
 type Coordination interface {
 	Exchange(context.Context, *apiv1.ExchangeRequest) (*apiv1.ExchangeResponse, error)
 	Acquire(context.Context, *apiv1.AcquireRequest) (*apiv1.AcquireResponse, error)
+	Lend(context.Context, *apiv1.LendRequest) (*apiv1.LendResponse, error)
 }
 
 // Usage reports what this host has in flight and what was asked of it.
@@ -74,11 +72,12 @@
 
 // Client exchanges with the leader. It is safe for concurrent use.
 type Client struct {
-	opts  Options
-	log   zerolog.Logger
-	view  atomic.Pointer[View]
-	wake  chan struct{}
-	taken *meter.Histogram
+	opts Options
+	log  zerolog.Logger
+	view atomic.Pointer[View]
+	// wanting has a value when requests wait for tokens.
+	wanting chan struct{}
+	taken   *meter.Histogram
 
 	// tasks are the calls for adapters that are under way.
 	tasks sync.WaitGroup
@@ -100,7 +99,7 @@
 // New returns a client without a view. Run must run while it is used.
 func New(opts Options) *Client {
 	c := &Client{
-		opts: opts, log: opts.Logger, seeds: opts.Seeds, wake: make(chan struct{}, 1),
+		opts: opts, log: opts.Logger, seeds: opts.Seeds, wanting: make(chan struct{}, 1),
 		peers: map[string]Coordination{}, waiting: map[acquireKey]*acquisition{},
 		taken: opts.Meter.Histogram("exchange_ms"),
 	}
@@ -111,14 +110,6 @@
 // View returns the newest view. It is never nil.
 func (c *Client) View() *View { return c.view.Load() }
 
-// Hurry asks for an exchange at once.
-func (c *Client) Hurry() {
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
-}
-
 // SetSeeds replaces the addresses that are asked when no member is known.
 func (c *Client) SetSeeds(seeds []string) {
 	c.mu.Lock()
@@ -131,42 +122,22 @@
 	eg, ctx := errgroup.WithContext(ctx)
 	eg.Go(func() error { return c.exchangeLoop(ctx) })
 	eg.Go(func() error { return c.listLoop(ctx) })
+	eg.Go(func() error { return c.lendLoop(ctx) })
 	defer c.tasks.Wait()
 	return eg.Wait()
 }
 
 func (c *Client) exchangeLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
-		began := c.opts.Now()
-		ok := c.exchangeOnce(ctx)
 		pause := c.opts.Interval
-		if !ok {
+		if !c.exchangeOnce(ctx) {
 			pause = retryGap
 		}
-		if !c.pause(ctx, pause) {
-			continue
-		}
-		// A hurried exchange keeps its distance from the last one.
-		if rest := urgentGap - c.opts.Now().Sub(began); rest > 0 {
-			sleep(ctx, rest)
-		}
+		sleep(ctx, pause)
 	}
 	return nil
 }
 
-// pause waits and tells whether it was woken.
-func (c *Client) pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-c.wake:
-		return true
-	}
-	return false
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -288,9 +259,7 @@
 		VersionsEpoch: e.versions, FleetEpoch: e.fleet,
 	}
 	for _, u := range c.opts.Rates.Report(now) {
-		req.Uses = append(req.Uses, &apiv1.TeamUse{
-			Team: u.Team, Asked: u.Asked, Debt: u.Debt, Fraction: u.Fraction, Waiting: u.Waiting,
-		})
+		req.Uses = append(req.Uses, &apiv1.TeamUse{Team: u.Team, Asked: u.Asked, Debt: u.Debt, Fraction: u.Fraction})
 	}
 	if v.Catalog != nil {
 		req.HasDocument, req.DocumentRevision = true, v.Catalog.Revision
@@ -414,7 +383,6 @@
 		out = append(out, share.Part{
 			Team: p.GetTeam(), PerSecond: p.GetTokensPerSecond(), Burst: p.GetBurstTokens(), Fraction: p.GetFraction(),
 			Valid: time.Duration(p.GetValidMs()) * time.Millisecond,
-			Lent:  p.GetLentTokens(), PoolWait: time.Duration(p.GetPoolWaitMs()) * time.Millisecond,
 		})
 	}
 	return out
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,8 +21,8 @@
 type Fleet interface {
 	View() *exchange.View
 	Acquire(ctx context.Context, r residency.Request) (exchange.Acquired, error)
-	// Hurry asks for an exchange with the leader soon.
-	Hurry()
+	// Borrow asks the leader for tokens for the requests that wait.
+	Borrow()
 }
 
 // Options configures a Gateway.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -21,8 +21,7 @@
 	// the answer still reaches the caller.
 	answerMargin = 15 * time.Millisecond
 	// tokenPart is the part of its objective that a request may wait for tokens. The
-	// leader lends from the team's pool within one exchange, which is at most 100 ms
-	// away.
+	// leader lends from the team's pool within a call, of a few ms.
 	tokenPart = 1.0 / 3
 	// tokenPause is the time between two looks for tokens.
 	tokenPause = 20 * time.Millisecond
@@ -215,8 +214,8 @@
 	w := f.g.opts.Rates.Wait(f.team.Name, cost)
 	defer w.End()
 	patience := f.tokenPatience()
-	f.g.opts.Fleet.Hurry()
 	for {
+		f.g.opts.Fleet.Borrow()
 		alive := pause(ctx, tokenPause)
 		now := f.g.opts.Now()
 		if ok, retry = w.Try(now); ok || !alive {
--- a/internal/share/divider.go
+++ b/internal/share/divider.go
@@ -32,8 +32,6 @@
 	Debt float64
 	// Fraction is the part of the rate that the host holds, of 1.
 	Fraction float64
-	// Waiting are the tokens of each request that waits for the pool.
-	Waiting []float64
 }
 
 // Part is a host's part of a team's rate.
@@ -42,10 +40,6 @@
 	PerSecond, Burst float64
 	Fraction         float64
 	Valid            time.Duration
-	// Lent are tokens from the team's pool. PoolWait is when the pool may have more;
-	// 0 when it lent all.
-	Lent     float64
-	PoolWait time.Duration
 }
 
 const (
@@ -75,10 +69,11 @@
 // Divider divides the rates of all teams for one term. It is not safe for
 // concurrent use.
 type Divider struct {
-	start time.Time
-	rates map[string]Rate
-	hosts map[string]*host
-	pools pools
+	start  time.Time
+	rates  map[string]Rate
+	hosts  map[string]*host
+	totals map[string]*total
+	pools  pools
 	// earlier is true when some host holds parts of an earlier leader. Parts that
 	// nobody has reported may then be in use until heldValid after the start.
 	earlier bool
@@ -101,7 +96,7 @@
 
 // NewDivider returns a divider for a term that starts now.
 func NewDivider(now time.Time) *Divider {
-	return &Divider{start: now, rates: map[string]Rate{}, hosts: map[string]*host{}, pools: pools{}}
+	return &Divider{start: now, rates: map[string]Rate{}, hosts: map[string]*host{}, totals: map[string]*total{}, pools: pools{}}
 }
 
 // SetRates replaces the rates of all teams.
@@ -117,24 +112,25 @@
 	}
 	h.heard = now
 	for _, u := range uses {
-		h.book(u, now)
+		d.change(h, u.Team, now, func(own *use) { own.book(u) })
 		d.earlier = d.earlier || u.Fraction > 0 && now.Sub(d.start) < settle
 	}
 	d.expire(now)
 	if now.Sub(d.start) < settle && d.earlier {
 		return nil
 	}
-	d.fillPools(now)
+	silent := d.silent(now)
 	parts := make([]Part, 0, len(d.rates))
 	for team, rate := range d.rates {
-		f := min(d.fraction(name, team, rate, now), d.unclaimed(name, team, now))
 		u := h.of(team, now)
-		u.claim = max(u.fraction, f)
-		u.fraction = f
+		f := min(d.fraction(u, team, rate, silent, now), d.unclaimed(u, team, now))
+		d.change(h, team, now, func(own *use) {
+			own.claim = max(own.fraction, f)
+			own.fraction = f
+		})
 		divided := rate.times((1 - d.poolPart()) * f)
 		parts = append(parts, Part{Team: team, PerSecond: divided.PerSecond, Burst: divided.Burst, Fraction: f, Valid: valid})
 	}
-	d.lend(parts, uses)
 	slices.SortFunc(parts, func(a, b Part) int { return strings.Compare(a.Team, b.Team) })
 	return parts
 }
@@ -148,9 +144,8 @@
 	return u
 }
 
-func (h *host) book(r Use, now time.Time) {
-	u := h.of(r.Team, now)
-	u.decay(now)
+// book takes over what the host tells. The use has been decayed.
+func (u *use) book(r Use) {
 	u.asked += r.Asked * decayPerSecond
 	u.debt, u.fraction, u.claim = r.Debt, r.Fraction, r.Fraction
 }
@@ -162,13 +157,8 @@
 
 // unclaimed is the part of a team's rate that no other host holds. A part that is
 // to move is free only once its holder has been told, beyond the headroom.
-func (d *Divider) unclaimed(name, team string, now time.Time) float64 {
-	left := 1 + headroom
-	for other, h := range d.hosts {
-		if u := h.teams[team]; u != nil && other != name {
-			left -= u.claim
-		}
-	}
+func (d *Divider) unclaimed(own *use, team string, now time.Time) float64 {
+	left := 1 + headroom - (d.total(team, now).claim - own.claim)
 	if now.Sub(d.start) < settle {
 		left = min(left, firstPart)
 	}
@@ -179,6 +169,7 @@
 func (d *Divider) expire(now time.Time) {
 	for name, h := range d.hosts {
 		if now.Sub(h.heard) > heldValid {
+			d.forget(h, now)
 			delete(d.hosts, name)
 		}
 	}
@@ -187,18 +178,25 @@
 // hostLive is how long a host that has not reported takes part in the division.
 const hostLive = time.Second
 
+// silent returns the hosts that take no part in the division now.
+func (d *Divider) silent(now time.Time) []*host {
+	var out []*host
+	for _, h := range d.hosts {
+		if now.Sub(h.heard) > hostLive {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // fraction returns a host's part of a team's rate: what is free, divided by what
 // the hosts need. The parts of silent hosts are not free.
-func (d *Divider) fraction(name, team string, rate Rate, now time.Time) float64 {
-	live, need, kept := 0, 0.0, 0.0
-	for other, h := range d.hosts {
+func (d *Divider) fraction(own *use, team string, rate Rate, silent []*host, now time.Time) float64 {
+	live, need, kept := len(d.hosts)-len(silent), d.total(team, now).need(), 0.0
+	for _, h := range silent {
 		u := h.of(team, now)
-		if now.Sub(h.heard) > hostLive && other != name {
-			kept += u.fraction
-			continue
-		}
-		live++
-		need += u.need(now)
+		kept += u.fraction
+		need -= u.need(now)
 	}
 	if d.earlier && now.Sub(d.start) < heldValid {
 		kept = max(kept, d.unreported(team, now))
@@ -211,21 +209,14 @@
 	if rate.PerSecond > 0 {
 		even = min(max((1-need/rate.PerSecond)/2, evenLeast), evenMost)
 	}
-	own := d.hosts[name].of(team, now).need(now)
-	return free * (even/float64(live) + (1-even)*own/need)
+	return free * (even/float64(live) + (1-even)*min(own.need(now)/need, 1))
 }
 
 // unreported is the part that hosts of an earlier leader may use that have not
 // reported to this one.
 func (d *Divider) unreported(team string, now time.Time) float64 {
-	known := 0.0
-	for _, h := range d.hosts {
-		if u := h.teams[team]; u != nil {
-			known += u.fraction
-		}
-	}
 	// After the first division the known parts add up to what is free.
-	return max(0, 1-known)
+	return max(0, 1-d.total(team, now).fraction)
 }
 
 func (u *use) need(now time.Time) float64 {
--- a/internal/share/holder.go
+++ b/internal/share/holder.go
@@ -172,7 +172,7 @@
 	var out []Use
 	for name, b := range h.teams {
 		b.refill(now)
-		u := Use{Team: name, Asked: b.asked, Debt: max(0, -b.level), Waiting: b.unlent()}
+		u := Use{Team: name, Asked: b.asked, Debt: max(0, -b.level)}
 		if now.Before(b.ends) {
 			u.Fraction = b.part.Fraction
 		}
@@ -212,10 +212,33 @@
 		}
 		b.part, b.ends = p, sent.Add(p.Valid)
 		b.level = min(b.level, p.Burst)
+	}
+}
+
+// Wants returns the requests that wait and that nothing is lent for, sorted by team.
+func (h *Holder) Wants() []Want {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []Want
+	for name, b := range h.teams {
+		if waiting := b.unlent(); len(waiting) > 0 {
+			out = append(out, Want{Team: name, Waiting: waiting})
+		}
+	}
+	slices.SortFunc(out, func(a, b Want) int { return strings.Compare(a.Team, b.Team) })
+	return out
+}
+
+// Lent takes over what the pools lend to the requests that wait.
+func (h *Holder) Lent(loans []Loan, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, l := range loans {
+		b := h.team(l.Team)
 		if len(b.waiters) > 0 {
-			b.lent += p.Lent
+			b.lent += l.Tokens
 		}
-		b.poolEmpty = now.Add(p.PoolWait)
+		b.poolEmpty = now.Add(l.Wait)
 	}
 }
 
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -20,6 +20,20 @@
 	return poolLeast + (poolMost-poolLeast)*min(max(grown, 0), 1)
 }
 
+// Want holds the tokens of each request of a team that waits at a host.
+type Want struct {
+	Team    string
+	Waiting []float64
+}
+
+// Loan is what a team's pool lends. Wait is when it may have more; 0 when it lent
+// all.
+type Loan struct {
+	Team   string
+	Tokens float64
+	Wait   time.Duration
+}
+
 // pools holds the pool of each team.
 type pools map[string]*pool
 
@@ -43,7 +57,7 @@
 		p := d.pools[team]
 		if p == nil {
 			p = &pool{at: now}
-			if !d.earlier && now.Sub(d.start) >= settle {
+			if len(d.hosts) > 0 && !d.earlier {
 				p.level = rate.Burst
 			}
 			d.pools[team] = p
@@ -58,15 +72,23 @@
 	}
 }
 
-// lend adds to the parts what the pools have for the requests that wait.
-func (d *Divider) lend(parts []Part, uses []Use) {
-	for _, u := range uses {
-		for i := range parts {
-			if parts[i].Team == u.Team {
-				parts[i].Lent, parts[i].PoolWait = d.pools[u.Team].lend(u.Waiting)
-			}
+// Lend lends to the requests of a host that wait. A new leader lends nothing until
+// it knows whether there was an earlier one.
+func (d *Divider) Lend(wants []Want, now time.Time) []Loan {
+	if now.Sub(d.start) < settle {
+		return nil
+	}
+	d.fillPools(now)
+	out := make([]Loan, 0, len(wants))
+	for _, w := range wants {
+		p := d.pools[w.Team]
+		if p == nil {
+			continue
 		}
+		lent, wait := p.lend(w.Waiting)
+		out = append(out, Loan{Team: w.Team, Tokens: lent, Wait: wait})
 	}
+	return out
 }
 
 // lend returns the tokens for the requests that can pass, in their order, and when
