Tell refused callers when their host's part is repaid

Cause: a caller beyond its team's rate was told to come back when the pool might have a few tokens, 20 ms later most often, although many others waited for them.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -193,11 +193,12 @@
 	began := f.g.opts.Now()
 	ok, retry := f.g.opts.Rates.Take(f.team.Name, cost, began)
 	if !ok && retry <= f.tokenPatience() {
-		ok, retry = f.awaitTokens(ctx, cost, began)
+		ok = f.awaitTokens(ctx, cost, began)
 	}
 	if !ok {
+		back := max(f.g.opts.Rates.ComeBack(f.team.Name, f.g.opts.Now()), tokenPause)
 		return fault.Newf(fault.KindRateLimited, "send the request later", "team %s is beyond its rate of %d/s with a burst of %d",
-			f.team.Name, f.team.Rate, f.team.Burst).WithRun(fault.NotRun).After(retry)
+			f.team.Name, f.team.Rate, f.team.Burst).WithRun(fault.NotRun).After(back)
 	}
 	f.reserved = cost
 	f.g.metrics.tokens.Observe(f.g.opts.Now().Sub(began))
@@ -210,7 +211,7 @@
 }
 
 // awaitTokens waits until the host's part or the team's pool has the tokens.
-func (f *flight) awaitTokens(ctx context.Context, cost uint64, began time.Time) (ok bool, retry time.Duration) {
+func (f *flight) awaitTokens(ctx context.Context, cost uint64, began time.Time) bool {
 	w := f.g.opts.Rates.Wait(f.team.Name, cost)
 	defer w.End()
 	patience := f.tokenPatience()
@@ -218,11 +219,9 @@
 		f.g.opts.Fleet.Borrow()
 		alive := pause(ctx, tokenPause)
 		now := f.g.opts.Now()
-		if ok, retry = w.Try(now); ok || !alive {
-			return ok, retry
-		}
-		if retry > patience || now.Add(tokenPause).After(began.Add(patience)) {
-			return false, max(retry, tokenPause)
+		ok, retry := w.Try(now)
+		if ok || !alive || retry > patience || now.Add(tokenPause).After(began.Add(patience)) {
+			return ok
 		}
 	}
 }
--- a/internal/share/holder.go
+++ b/internal/share/holder.go
@@ -150,11 +150,24 @@
 
 // retry returns when the part or the pool may have tokens, whichever is sooner.
 func (b *balance) retry(now time.Time) time.Duration {
-	own := mostRetry
-	if now.Before(b.ends) && b.part.PerSecond > 0 {
-		own = time.Duration(-b.level / b.part.PerSecond * float64(time.Second))
+	return min(max(min(b.repaid(now), b.poolEmpty.Sub(now)), leastRetry), mostRetry)
+}
+
+// repaid returns when the part has worked off its debt.
+func (b *balance) repaid(now time.Time) time.Duration {
+	if !now.Before(b.ends) || b.part.PerSecond <= 0 {
+		return mostRetry
 	}
-	return min(max(min(own, b.poolEmpty.Sub(now)), leastRetry), mostRetry)
+	return time.Duration(-b.level / b.part.PerSecond * float64(time.Second))
+}
+
+// ComeBack returns when a refused caller should ask again: when the part has worked
+// off its debt. The pool may have tokens sooner, but others wait for them; callers
+// that come back for them too soon use up their tries.
+func (h *Holder) ComeBack(team string, now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return min(max(h.team(team).repaid(now), leastRetry), mostRetry)
 }
 
 // Return gives back the tokens of a request that did not run.
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -379,3 +379,17 @@
 	ok, _ = w.Try(now)
 	must.False(t, ok)
 }
+
+// A caller that is refused must be told to come back when its host has worked off
+// its debt, and not when the pool, for which others wait, may have a few tokens.
+func TestComeBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := NewHolder()
+	h.Apply([]Part{{Team: "red", PerSecond: 1_000, Burst: 100, Fraction: 0.1, Valid: time.Hour}}, now, now)
+	ok, _ := h.Take("red", 800, now)
+	must.True(t, ok)
+	_, retry := h.Take("red", 100, now)
+	must.Eq(t, leastRetry, retry, must.Sprint("the pool may have tokens at once"))
+	must.Eq(t, 700*time.Millisecond, h.ComeBack("red", now))
+	must.Eq(t, mostRetry, h.ComeBack("unknown", now))
+}
