--- a/internal/storage/contents.go
+++ b/internal/storage/contents.go
@@ -27,6 +27,11 @@
 	b = binary.BigEndian.AppendUint64(b, peers)
 	entries := tx.Bucket(entriesBucket).Cursor()
 	first, _ := entries.First()
+	if first == nil {
+		// Last does not return in a bucket whose pages have all been emptied in this
+		// transaction.
+		return b
+	}
 	b = append(b, first...)
 	last, _ := entries.Last()
 	return append(b, last...)
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"go.etcd.io/bbolt"
@@ -179,3 +180,33 @@
 	_, err = Open(dir, Options{})
 	must.True(t, fault.Is(err, fault.KindStorageVersion))
 }
+
+// A host far behind replaces its whole log by the leader's snapshot. With entries
+// on several pages of the file, the save never returned: in a bucket whose pages
+// have all been emptied, the library's cursor looks for the last key for ever.
+func TestResetOfLongLog(t *testing.T) {
+	for name, update := range map[string]Update{
+		"reset":   {Snapshot: snapshotAt(1_000), Reset: true},
+		"compact": {Snapshot: snapshotAt(1_000), KeepFrom: 2_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			s := open(t, dir, Options{NoSync: true})
+			must.NoError(t, s.Save(Update{HardState: &consensus.HardState{Term: 1}, Snapshot: snapshotAt(1)}))
+			must.NoError(t, s.Save(Update{Entries: entries(2, 900, 1)}))
+			saved := make(chan error, 1)
+			go func() { saved <- s.Save(update) }()
+			select {
+			case err := <-saved:
+				must.NoError(t, err)
+			case <-time.After(10 * time.Second):
+				t.Fatal("the save does not return")
+			}
+			must.NoError(t, s.Save(Update{Entries: entries(1_001, 1_005, 1)}))
+			must.NoError(t, s.Close())
+			got, _, _ := open(t, dir, Options{}).Load()
+			must.Eq(t, 1_000, got.Snapshot.Index)
+			must.Len(t, 5, got.Entries)
+		})
+	}
+}
