--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -76,7 +76,7 @@
 		var v verdict
 		v, answer, failure = f.attempt(ctx, p, answer)
 		f.tries.Failed(failure)
-		f.log = append(f.log, attempt{p.server.Instance, v.String(), f.g.opts.Now().Sub(began)})
+		f.tried = append(f.tried, attempt{p.server.Instance, v.String(), f.g.opts.Now().Sub(began)})
 		f.g.metrics.attempts.Add(v.String(), 1)
 		if v == delivered {
 			return nil
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -46,8 +46,8 @@
 	// loads counts the questions for a load of the adapter.
 	loads            int
 	refused, missing map[string]bool
-	// log holds what is logged of each attempt.
-	log     []attempt
+	// tried holds what is logged of each attempt.
+	tried   []attempt
 	events  eventReader
 	started bool
 	firstAt time.Time
@@ -253,7 +253,7 @@
 	if !f.firstAt.IsZero() {
 		e = e.Dur("first", f.firstAt.Sub(f.r.Received)).Int("events", f.events.events)
 	}
-	for _, a := range f.log {
+	for _, a := range f.tried {
 		e = e.Str("server", a.instance).Str("attempt", a.outcome).Dur("attempt_took", a.took)
 	}
 	if err == nil {
--- a/internal/share/holder.go
+++ b/internal/share/holder.go
@@ -45,6 +45,9 @@
 	poolEmpty time.Time
 }
 
+// mostWaiting bounds the requests of one team that the leader is told of at once.
+const mostWaiting = 64
+
 // unlent returns the tokens of the requests that nothing is lent for yet.
 func (b *balance) unlent() []float64 {
 	var out []float64
@@ -57,9 +60,6 @@
 	return out
 }
 
-// mostWaiting bounds the requests of one team that the leader is told of at once.
-const mostWaiting = 64
-
 // endowTime is how long after its first part a host is given the burst of a larger
 // one. A new leader begins with small parts until it has heard all hosts.
 const endowTime = 2 * time.Second
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -4,9 +4,9 @@
 
 // fewHosts and manyHosts bound the numbers of hosts between which the pool grows
 // from poolLeast to poolMost of each rate. With 9 hosts the divided rest gives a
-// host a fifteenth of a rate, which one large request overdraws for seconds; with
+// host a thirteenth of a rate, which one large request overdraws for seconds; with
 // 70 it gives less than a request a second. While no leader lends, the hosts have
-// the rest only.
+// the rest only; with more than poolLeast, TestLeaderless does not hold at 9 hosts.
 const (
 	fewHosts  = 10
 	manyHosts = 50
