Log why a request got no tokens, and count calls for grants by outcome

A refusal for a team's rate said only how long it took, so that the log could not tell a shared bucket that is empty from a call that was sent too late or not answered. The line of a request now has tokens (allocation, waited, none_in_time, not_sent, not_answered, not_granted) and token_wait. jasmine_token_refusals{reason}, jasmine_grant_calls{outcome} and jasmine_grant_ms count the same. No decision changes.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -78,6 +79,8 @@
 	// tokensRequested holds a value when requests wait for tokens.
 	tokensRequested chan struct{}
 	duration        *meter.Histogram
+	grantDuration   *meter.Histogram
+	grants          *expvar.Map
 
 	// tasks tracks the Acquire calls in progress.
 	tasks sync.WaitGroup
@@ -102,7 +105,8 @@
 	c := &Client{
 		opts: opts, log: opts.Logger, seeds: opts.Seeds, tokensRequested: make(chan struct{}, 1),
 		peers: map[string]Coordination{}, acquisitions: map[acquireKey]*acquisition{},
-		duration: opts.Meter.Histogram("exchange_ms"),
+		duration: opts.Meter.Histogram("exchange_ms"), grantDuration: opts.Meter.Histogram("grant_ms"),
+		grants: opts.Meter.Counters("grant_calls", "outcome"),
 	}
 	c.view.Store(&View{})
 	return c
--- a/internal/exchange/grant.go
+++ b/internal/exchange/grant.go
@@ -54,6 +54,7 @@
 	leader, lost := c.leader, c.leaderLost
 	c.mu.Unlock()
 	if leader == "" || lost {
+		c.grants.Add("no_leader", 1)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
@@ -62,11 +63,19 @@
 	for _, w := range demands {
 		req.Wants = append(req.Wants, &apiv1.TeamWant{Team: w.Team, Waiting: w.Waiting})
 	}
+	began := c.opts.Now()
 	resp, err := c.peer(leader).Lend(ctx, req)
 	if err != nil {
+		c.grants.Add("failed", 1)
 		c.log.Debug().Err(err).Str("control_host", leader).Msg("request for tokens failed")
 		return
 	}
+	c.grantDuration.Observe(c.opts.Now().Sub(began))
+	if !resp.GetLeadership().GetLeading() {
+		c.grants.Add("not_leading", 1)
+		return
+	}
+	c.grants.Add("answered", 1)
 	grants := make([]quota.Grant, 0, len(resp.GetLoans()))
 	for _, l := range resp.GetLoans() {
 		grants = append(grants, quota.Grant{
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,6 +8,7 @@
 
 type metrics struct {
 	requests, attempts            *expvar.Map
+	tokenRefusals                 *expvar.Map
 	retries, resumed              *expvar.Int
 	total, first, placing, tokens *meter.Histogram
 }
@@ -15,7 +16,8 @@
 func newMetrics(m *meter.Set) metrics {
 	return metrics{
 		requests: m.Counters("requests", "outcome"), attempts: m.Counters("attempts", "outcome"),
-		retries: m.Counter("repeats"), resumed: m.Counter("streams_resumed"),
+		tokenRefusals: m.Counters("token_refusals", "reason"),
+		retries:       m.Counter("repeats"), resumed: m.Counter("streams_resumed"),
 		total: m.Histogram("request_ms"), first: m.Histogram("first_event_ms"),
 		placing: m.Histogram("placing_ms"), tokens: m.Histogram("token_wait_ms"),
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -41,7 +41,11 @@
 	deadline time.Time
 	// reserved is the number of tokens taken from this host's allocation of
 	// the team's rate.
-	reserved    uint64
+	reserved uint64
+	// tokens is how the request got its tokens, or why it did not, and
+	// tokenWait how long it waited for them.
+	tokens      string
+	tokenWait   time.Duration
 	fingerprint []byte
 
 	tries attempts.Attempts
@@ -202,16 +206,23 @@
 	cost := ar.team.Cost(ar.r.Tokens())
 	began := ar.g.opts.Now()
 	ok, retryAfter := ar.g.opts.Rates.Take(ar.team.Name, cost, began)
-	if !ok && retryAfter <= ar.maxTokenWait() {
+	switch {
+	case ok:
+		ar.tokens = "allocation"
+	case retryAfter > ar.maxTokenWait():
+		ar.tokens = "none_in_time"
+	default:
 		ok = ar.awaitTokens(ctx, cost, began)
 	}
+	ar.tokenWait = ar.g.opts.Now().Sub(began)
 	if !ok {
+		ar.g.metrics.tokenRefusals.Add(ar.tokens, 1)
 		wait := max(ar.g.opts.Rates.RetryAfter(ar.team.Name, ar.g.opts.Now()), tokenPollInterval)
 		return fault.Newf(fault.KindRateLimited, "send the request later", "team %s is beyond its rate of %d/s with a burst of %d",
 			ar.team.Name, ar.team.Rate, ar.team.Burst).WithRun(fault.NotRun).After(wait)
 	}
 	ar.reserved = cost
-	ar.g.metrics.tokens.Observe(ar.g.opts.Now().Sub(began))
+	ar.g.metrics.tokens.Observe(ar.tokenWait)
 	return nil
 }
 
@@ -232,6 +243,10 @@
 		now := ar.g.opts.Now()
 		ok, retryAfter := w.Try(now)
 		if ok || !alive || retryAfter > maxWait || now.Add(tokenPollInterval).After(began.Add(maxWait)) {
+			ar.tokens = "waited"
+			if !ok {
+				ar.tokens = w.Demand()
+			}
 			return ok
 		}
 	}
@@ -258,6 +273,9 @@
 	if ar.team != nil {
 		e = e.Str("team", ar.team.Name).Uint64("cost", ar.team.Cost(ar.r.Tokens()))
 	}
+	if ar.tokens != "" {
+		e = e.Str("tokens", ar.tokens).Dur("token_wait", ar.tokenWait)
+	}
 	if ar.r.Generation {
 		e = e.Str("copy", ar.r.Weights.String()).Int("prompt_tokens", ar.r.PromptTokens).Int("loads", ar.loads)
 	}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -111,6 +111,23 @@
 	limiter *Limiter
 	team    string
 	tokens  uint64
+	demand  demandState
+}
+
+// demandState is how far the demand of a waiter has come.
+type demandState int
+
+const (
+	// notSent: no call to the leader has named the waiter's tokens.
+	notSent demandState = iota
+	// sent: a call has named them, and no answer has come.
+	sent
+	// answered: the leader has answered a call that named them.
+	answered
+)
+
+func (s demandState) String() string {
+	return [...]string{"not_sent", "not_answered", "not_granted"}[s]
 }
 
 // Wait registers a request for which Take had no tokens as waiting. The caller must call
@@ -118,7 +135,7 @@
 func (l *Limiter) Wait(team string, tokens uint64) *Waiter {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w := &Waiter{l, team, tokens}
+	w := &Waiter{limiter: l, team: team, tokens: tokens}
 	b := l.team(team)
 	b.waiters = append(b.waiters, w)
 	return w
@@ -137,6 +154,14 @@
 	return b.take(w.tokens, now)
 }
 
+// Demand returns how far the waiter's demand has come, for the log: not_sent,
+// not_answered or not_granted.
+func (w *Waiter) Demand() string {
+	w.limiter.mu.Lock()
+	defer w.limiter.mu.Unlock()
+	return w.demand.String()
+}
+
 // End ends the wait.
 func (w *Waiter) End() {
 	w.limiter.mu.Lock()
@@ -244,6 +269,7 @@
 	var out []Demand
 	for name, b := range l.teams {
 		if waiting := b.ungranted(); len(waiting) > 0 {
+			b.advanceDemand(notSent, sent)
 			out = append(out, Demand{Team: name, Waiting: waiting})
 		}
 	}
@@ -251,6 +277,15 @@
 	return out
 }
 
+// advanceDemand changes the demand state of the team's waiters.
+func (b *bucket) advanceDemand(from, to demandState) {
+	for _, w := range b.waiters[:min(len(b.waiters), maxReportedWaiting)] {
+		if w.demand == from {
+			w.demand = to
+		}
+	}
+}
+
 // ApplyGrants applies grants from the shared buckets for the requests that wait.
 func (l *Limiter) ApplyGrants(grants []Grant, now time.Time) {
 	l.mu.Lock()
@@ -260,6 +295,7 @@
 		if len(b.waiters) > 0 {
 			b.granted += g.Tokens
 		}
+		b.advanceDemand(sent, answered)
 		b.sharedEmpty = now.Add(g.Wait)
 	}
 }
