Placing an adapter costs as much as there are engines, not their square

Each choice of an engine for an adapter to load counted the loads of the whole fleet once for each engine, and the sort by preference hashed two names in each comparison, all under the lock that every call of an entry host takes.

The loads are counted once for each choice, each engine is hashed once, and an engine is looked at only if its cost is lower than the best one's so far. The choice is the same one.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -94,10 +94,24 @@
 
 // New returns a coordinator. It serves only while Run is running.
 func New(opts Options) *Coordinator {
-	return &Coordinator{
+	c := &Coordinator{
 		opts: opts, log: opts.Logger, metrics: newMetrics(opts.Meter),
 		cacheHistory: cacheHistory{unloaded: map[string][]residency.Ref{}},
 	}
+	opts.Meter.Gauge("residents_examined", c.residentsExamined)
+	return c
+}
+
+// residentsExamined returns the cost of the placement decisions of this term, 0 while this
+// host does not lead.
+func (c *Coordinator) residentsExamined() float64 {
+	l := c.currentLeader()
+	if l == nil {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return float64(l.table.Examined())
 }
 
 // Run tracks the lease and does the leader's periodic work until the context
--- a/internal/residency/acquire.go
+++ b/internal/residency/acquire.go
@@ -1,7 +1,9 @@
 package residency
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -94,24 +96,35 @@
 		}
 		out = append(out, e)
 	}
-	slices.SortStableFunc(out, func(a, b *Engine) int {
-		x, y := rendezvousHash(a.Instance, r.Ref), rendezvousHash(b.Instance, r.Ref)
-		switch {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		}
-		return 0
+	return t.byPreference(out, r.Ref)
+}
+
+// byPreference sorts the engines by their rendezvous hash for the adapter, the highest first.
+func (t *Table) byPreference(engines []*Engine, ref Ref) []*Engine {
+	type ranked struct {
+		engine *Engine
+		hash   uint64
+	}
+	list := make([]ranked, len(engines))
+	name := "\x00" + ref.String()
+	for i, e := range engines {
+		list[i] = ranked{e, t.rendezvousHash(e.Instance, name)}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.hash, a.hash), strings.Compare(a.engine.Instance, b.engine.Instance))
 	})
-	return out
+	for i, r := range list {
+		engines[i] = r.engine
+	}
+	return engines
 }
 
 // rendezvousHash returns the rendezvous hash of an engine for an adapter; the highest is
 // preferred. The order of the remaining engines does not change when others join
 // or leave.
-func rendezvousHash(instance string, ref Ref) uint64 {
-	return xxhash.Sum64String(instance + "\x00" + ref.String())
+func (t *Table) rendezvousHash(instance, name string) uint64 {
+	t.examined++
+	return xxhash.Sum64String(instance + name)
 }
 
 // backlog estimates the time that a new request waits at the engine.
@@ -138,24 +151,31 @@
 func (t *Table) bestForLoad(engines []*Engine, ref Ref, now time.Time) *Engine {
 	var best *Engine
 	var bestCost time.Duration
+	storeBusy := t.storeBusy(now)
 	for i, e := range engines {
-		if !t.canLoad(e, ref, now) {
-			continue
-		}
 		cost := t.loadTime(e, ref) + t.backlog(e) + min(time.Duration(i)*preferenceStep, maxPreferenceCost)
-		if best == nil || cost < bestCost {
-			best, bestCost = e, cost
+		if best != nil && cost >= bestCost || t.refusal(e, ref, storeBusy, now) != "" {
+			continue
 		}
+		best, bestCost = e, cost
 	}
 	return best
 }
 
 // canLoad reports whether the engine can load the adapter, if need be after an
 // unload that frees a slot.
-func (t *Table) canLoad(e *Engine, ref Ref, now time.Time) bool { return t.refusal(e, ref, now) == "" }
+func (t *Table) canLoad(e *Engine, ref Ref, now time.Time) bool {
+	return t.refusal(e, ref, t.storeBusy(now), now) == ""
+}
+
+// storeBusy reports whether the weight store serves no further load at full speed.
+func (t *Table) storeBusy(now time.Time) bool {
+	return t.coldLoads(now) >= max(t.opts.MaxColdLoads, len(t.engines))
+}
 
-// refusal returns why the engine cannot load the adapter now, or "" if it can.
-func (t *Table) refusal(e *Engine, ref Ref, now time.Time) string {
+// refusal returns why the engine cannot load the adapter now, or "" if it can. storeBusy
+// is passed in, because it costs as much as looking at all engines.
+func (t *Table) refusal(e *Engine, ref Ref, storeBusy bool, now time.Time) string {
 	if waits := t.BlockedReason(e.Instance, now); waits != "" && waits != "order_on_its_way" {
 		return waits
 	}
@@ -169,7 +189,7 @@
 	switch {
 	case t.loadingCount(e, now) >= t.opts.MaxLoading:
 		return "engine_loads"
-	case !slices.Contains(e.cached, ref) && t.coldLoads(now) >= max(t.opts.MaxColdLoads, len(t.engines)):
+	case storeBusy && !slices.Contains(e.cached, ref):
 		return "store_loads"
 	case t.freeSlots(e) <= 0 && t.victim(e, now) == (Ref{}):
 		return "all_in_use"
@@ -181,9 +201,9 @@
 // the adapter. It is logged.
 func (t *Table) commonRefusal(engines []*Engine, ref Ref, now time.Time) string {
 	counts := map[string]int{}
-	best := ""
+	best, storeBusy := "", t.storeBusy(now)
 	for _, e := range engines {
-		why := t.refusal(e, ref, now)
+		why := t.refusal(e, ref, storeBusy, now)
 		counts[why]++
 		if counts[why] > counts[best] || best == "" {
 			best = why
@@ -196,6 +216,7 @@
 func (t *Table) loadingCount(e *Engine, now time.Time) int {
 	n := 0
 	for ref, res := range e.residents {
+		t.examined++
 		if ref.Adapter != "" && res.readyAt.After(now) {
 			n++
 		}
@@ -208,6 +229,7 @@
 	n := 0
 	for _, e := range t.engines {
 		for _, res := range e.residents {
+			t.examined++
 			if res.cold && res.readyAt.After(now) {
 				n++
 			}
@@ -227,6 +249,7 @@
 	memory := s.Engine.MemoryMB
 	largest := 0.0
 	for ref := range e.residents {
+		t.examined++
 		m, _ := s.Model(ref.Model)
 		switch {
 		case m == nil:
@@ -252,12 +275,12 @@
 // in use. It prefers an adapter that has been retired for long enough, and otherwise
 // takes the least recently used one.
 func (t *Table) victim(e *Engine, now time.Time) Ref {
-	if ref := leastRecentlyUsed(e, func(res *resident) bool {
+	if ref := t.leastRecentlyUsed(e, func(res *resident) bool {
 		return !res.retiredAt.IsZero() && now.Sub(res.retiredAt) >= minRetirement && res.inFlight == 0
 	}); ref != (Ref{}) {
 		return ref
 	}
-	return leastRecentlyUsed(e, func(res *resident) bool { return t.idle(res, now) })
+	return t.leastRecentlyUsed(e, func(res *resident) bool { return t.idle(res, now) })
 }
 
 // idle reports whether no request is known to use the adapter or to wait for it.
@@ -271,10 +294,11 @@
 const assumedLoadedAfter = 2 * time.Second
 
 // leastRecentlyUsed returns the least recently used adapter that eligible accepts.
-func leastRecentlyUsed(e *Engine, eligible func(*resident) bool) Ref {
+func (t *Table) leastRecentlyUsed(e *Engine, eligible func(*resident) bool) Ref {
 	var victim Ref
 	var at time.Time
 	for ref, res := range e.residents {
+		t.examined++
 		if ref.Adapter == "" || res.unloading || !eligible(res) {
 			continue
 		}
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -290,7 +290,7 @@
 			}
 		}
 		for target := max(1, s.Engine.AdapterSlots/spareSlotDivisor); spare < target; spare++ {
-			ref := leastRecentlyUsed(e, func(res *resident) bool { return res.retiredAt.IsZero() && t.idle(res, now) })
+			ref := t.leastRecentlyUsed(e, func(res *resident) bool { return res.retiredAt.IsZero() && t.idle(res, now) })
 			if ref == (Ref{}) {
 				break
 			}
--- a/internal/residency/table.go
+++ b/internal/residency/table.go
@@ -151,6 +151,8 @@
 	epoch    uint64
 	removed  map[string]uint64 // epoch of the removal
 	stores   map[string]*storeLoads
+	// examined counts the engines and residents that decisions have looked at.
+	examined uint64
 }
 
 // storeLoads records the model loads of one service from the weight store.
@@ -176,6 +178,10 @@
 // SetNewest sets the newest version of an adapter.
 func (t *Table) SetNewest(ref Ref, version uint64) { t.newest[ref] = version }
 
+// Examined returns how many engines and residents decisions have looked at since the
+// table was made. It measures their cost independently of the machine.
+func (t *Table) Examined() uint64 { return t.examined }
+
 // Epoch returns the number of the last change. Each change that entry hosts must learn
 // of increments it.
 func (t *Table) Epoch() uint64 { return t.epoch }
