An exchange of an entry host costs the same with any number of hosts

For each exchange the leader summed the reports of all hosts anew for each engine, 75 x 119 look-ups and 119 maps, 300 times a second, under the lock that calls for tokens and adapters wait for. Exchanges of all hosts cost hosts x hosts x engines.

The totals of all hosts are kept and changed by the difference of the reporting host's two reports.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -98,20 +98,22 @@
 		opts: opts, log: opts.Logger, metrics: newMetrics(opts.Meter),
 		cacheHistory: cacheHistory{unloaded: map[string][]residency.Ref{}},
 	}
-	opts.Meter.Gauge("residents_examined", c.residentsExamined)
+	opts.Meter.Gauge("residents_examined", c.ofLeader(func(l *leader) uint64 { return l.table.Examined() }))
+	opts.Meter.Gauge("loads_examined", c.ofLeader(func(l *leader) uint64 { return l.hosts.examined }))
 	return c
 }
 
-// residentsExamined returns the cost of the placement decisions of this term, 0 while this
-// host does not lead.
-func (c *Coordinator) residentsExamined() float64 {
-	l := c.currentLeader()
-	if l == nil {
-		return 0
+// ofLeader returns a gauge of the tables of this term; it is 0 while this host does not lead.
+func (c *Coordinator) ofLeader(read func(*leader) uint64) func() float64 {
+	return func() float64 {
+		l := c.currentLeader()
+		if l == nil {
+			return 0
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return float64(read(l))
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return float64(l.table.Examined())
 }
 
 // Run tracks the lease and does the leader's periodic work until the context
--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -10,12 +10,6 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
 )
 
-// hostReport is the last report of one entry host.
-type hostReport struct {
-	lastSeen time.Time
-	loads    map[string]*apiv1.HostLoad
-}
-
 // acquireWait limits how long Acquire waits for the outcome of an order.
 const acquireWait = 400 * time.Millisecond
 
@@ -81,50 +75,26 @@
 // applyReport records what the host has in flight and the requests that arrived
 // at it.
 func (l *leader) applyReport(req *apiv1.ExchangeRequest, now time.Time) {
-	report := &hostReport{lastSeen: now, loads: map[string]*apiv1.HostLoad{}}
-	changed := map[string]bool{}
-	if old := l.hosts[req.GetHost()]; old != nil {
-		for instance := range old.loads {
-			changed[instance] = true
-		}
-	}
-	for _, load := range req.GetLoads() {
-		report.loads[load.GetInstance()] = load
-		changed[load.GetInstance()] = true
-	}
-	l.hosts[req.GetHost()] = report
-	for instance := range changed {
-		l.table.SetUsage(instance, l.engineUsage(instance), now)
-	}
+	l.setUsage(l.hosts.record(req.GetHost(), req.GetLoads(), now), now)
 	for _, d := range req.GetDemand() {
 		l.table.RecordArrivals(residency.Ref{Model: d.GetModel(), Adapter: d.GetAdapter()}, int(d.GetArrivals()), now)
 	}
 }
 
-// engineUsage sums what all hosts have in flight at an engine.
-func (l *leader) engineUsage(instance string) residency.EngineUsage {
-	u := residency.EngineUsage{Adapters: map[residency.Ref]int{}}
-	for _, h := range l.hosts {
-		load := h.loads[instance]
-		u.InFlight += int(load.GetInFlight())
-		u.PendingTokens += int(load.GetPendingTokens())
-		for _, a := range load.GetAdapters() {
-			u.Adapters[residency.Ref{Model: a.GetModel(), Adapter: a.GetAdapter()}] += int(a.GetInFlight())
-		}
+// setUsage updates the usage of the instances in the table.
+func (l *leader) setUsage(instances map[string]bool, now time.Time) {
+	for instance := range instances {
+		l.table.SetUsage(instance, l.hosts.total(instance), now)
 	}
-	return u
 }
 
 // expireHosts removes entry hosts that have sent no report for hostTimeout.
 func (l *leader) expireHosts(now time.Time) {
-	for name, h := range l.hosts {
+	for name, h := range l.hosts.reports {
 		if now.Sub(h.lastSeen) <= hostTimeout {
 			continue
 		}
-		delete(l.hosts, name)
-		for instance := range h.loads {
-			l.table.SetUsage(instance, l.engineUsage(instance), now)
-		}
+		l.setUsage(l.hosts.remove(name), now)
 		l.log.Info().Str("event", "dependency_lost").Str("dependency", "entry_host").Str("entry_host", name).
 			Dur("silent", now.Sub(h.lastSeen)).Msg("entry host is silent")
 	}
@@ -147,7 +117,7 @@
 
 // addFleet adds the engines that changed and what other hosts have in flight.
 func (l *leader) addFleet(req *apiv1.ExchangeRequest, resp *apiv1.ExchangeResponse, now time.Time) {
-	resp.Hosts = uint32(len(l.hosts))
+	resp.Hosts = uint32(len(l.hosts.reports))
 	if !l.listed {
 		return
 	}
@@ -160,9 +130,8 @@
 	for _, e := range engines {
 		resp.Servers = append(resp.Servers, encodeServer(e, now))
 	}
-	own := l.hosts[req.GetHost()]
 	for _, e := range l.table.Engines() {
-		u, ownLoad := l.engineUsage(e.Instance), own.loads[e.Instance]
+		u, ownLoad := l.hosts.total(e.Instance), l.hosts.load(req.GetHost(), e.Instance)
 		others := &apiv1.HostLoad{
 			Instance: e.Instance, InFlight: uint32(u.InFlight) - ownLoad.GetInFlight(),
 			PendingTokens: uint32(u.PendingTokens) - ownLoad.GetPendingTokens(),
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -44,7 +44,7 @@
 	catalog   *catalog.Catalog
 	document  *apiv1.PutDocument
 	versions  uint64
-	hosts     map[string]*hostReport
+	hosts     *hostUsage
 	jobs      map[jobKey]*job
 	// progress is closed and replaced after each order and report, to wake the jobs
 	// that wait for an engine.
@@ -64,7 +64,7 @@
 	l := &leader{
 		c: c, term: lease.Term, log: c.log.With().Uint64("term", lease.Term).Logger(), ctx: ctx, cancel: cancel,
 		marks: quarantine.NewTable(quarantine.Options{}), table: residency.New(residency.Options{}), allocator: quota.NewAllocator(now),
-		hosts: map[string]*hostReport{}, jobs: map[jobKey]*job{}, progress: make(chan struct{}),
+		hosts: newHostUsage(), jobs: map[jobKey]*job{}, progress: make(chan struct{}),
 		reporting: map[string]bool{}, holders: newHolderTable(),
 	}
 	l.syncState(now)
--- a/internal/residency/cost_test.go
+++ b/internal/residency/cost_test.go
@@ -50,3 +50,16 @@
 	t.Log("engines and residents examined for a load: ", few, " with 20 engines, ", many, " with 200")
 	must.LessEq(t, 10*few, many)
 }
+
+func BenchmarkAcquire(b *testing.B) {
+	for _, engines := range []int{12, 112} {
+		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			table := fullFleet(engines, now)
+			now = now.Add(5 * time.Second)
+			for i := 0; b.Loop(); i++ {
+				table.Acquire(Request{Service: service, Ref: Ref{model, fmt.Sprint("cold", i%5000)}}, now)
+			}
+		})
+	}
+}
