A server that sends informational responses without end costs no more than the header limit

The users' pages say that bytes which are no answer may come without end, in a header or a body. The limit on a header began anew with each informational response (1xx), so that a server could send them until the caller's time was over, as fast as the link carries them. The limit now holds for a header and the informational responses before it.

TestEndlessHeader sends a status line, bytes that are no HTTP, one field, fields and informational responses without end; before, the last case accepted all 6,553,772 bytes that the test sends, the others passed. An answer to another request without end ended at its limit before, too (TestEndlessAnswerToAnotherRequest).

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -20,7 +20,8 @@
 
 const (
 	readBufferBytes = 4 << 10
-	// maxHeaderBytes limits the header of a response.
+	// maxHeaderBytes limits the header of a response together with the informational
+	// responses before it, which a faulty server may send without end.
 	maxHeaderBytes = 64 << 10
 	// maxSkippedBytes limits the body of a response to another request.
 	maxSkippedBytes = 1 << 20
@@ -171,13 +172,11 @@
 		return nil, resp.fail(ctx, sent, err)
 	}
 	for skipped := 0; ; skipped++ {
-		head, err := c.readHeader(r)
+		head, informational, err := c.readFinalHeader(r)
 		if err != nil {
 			return nil, resp.fail(ctx, true, err)
 		}
-		if head.StatusCode < 200 {
-			continue
-		}
+		skipped += informational
 		if r.ID == "" || head.Header.Get(echo) == r.ID || head.Header.Get(echo) == "" && head.StatusCode >= 300 {
 			resp.setHeader(head, skipped > 0)
 			return resp, nil
@@ -189,10 +188,17 @@
 	}
 }
 
-func (c *conn) readHeader(r *Request) (*http.Response, error) {
+// readFinalHeader reads a header and skips the informational responses before it, whose
+// number it returns.
+func (c *conn) readFinalHeader(r *Request) (head *http.Response, informational int, err error) {
 	c.limit.remaining = maxHeaderBytes
 	defer func() { c.limit.remaining = noHeaderLimit }()
-	return http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	for ; ; informational++ {
+		head, err = http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		if err != nil || head.StatusCode >= 200 {
+			return head, informational, err
+		}
+	}
 }
 
 func discardBody(head *http.Response) error {
