Bodies without end do not take an entry host's memory

The users' pages say that bytes which are no answer may come without end in a body. A host buffered up to 32 MB of each response that is passed on whole, and up to 1 MB of each stream in which no event ends: some servers that send without end at the same time pass the memory of an entry host (184 to 284 MB), and its process is killed with all its requests.

TestEndlessBodies plays 20 requests whose bodies do not end. The next request is served afterwards.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -15,9 +14,6 @@
 )
 
 const (
-	// maxResponseBytes limits the body of a response that is buffered until it
-	// is complete.
-	maxResponseBytes = 32 << 20
 	// maxAttempts limits the attempts of one request, whether they ran or not.
 	maxAttempts = 5
 	// minRemaining is the minimum remaining time for another attempt.
@@ -272,7 +268,7 @@
 // handleErrorResponse retains an error response of the server, and rejects a
 // response that does not come from a backend server.
 func (ar *activeRequest) handleErrorResponse(p placement, resp *Response, last *errorResponse) (attemptOutcome, *errorResponse, error) {
-	body, err := readBody(resp)
+	body, err := ar.readBody(resp)
 	if err != nil || !resp.FromBackend {
 		ar.g.usage.recordFailure(p.server.Instance, ar.g.opts.Now())
 		return incomplete, last, ar.incompleteError(err)
@@ -292,23 +288,9 @@
 		"send the request again if it may be repeated").WithRun(fault.OutcomeUnknown)
 }
 
-func readBody(resp *Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxResponseBytes {
-		return nil, errors.New("the response is too long")
-	}
-	if resp.Length >= 0 && int64(len(body)) != resp.Length {
-		return nil, io.ErrUnexpectedEOF
-	}
-	return body, nil
-}
-
 // relayComplete relays a response once its body is complete.
 func (ar *activeRequest) relayComplete(p placement, resp *Response, began time.Time) (attemptOutcome, error) {
-	body, err := readBody(resp)
+	body, err := ar.readBody(resp)
 	now := ar.g.opts.Now()
 	if err != nil {
 		ar.g.usage.recordFailure(p.server.Instance, now)
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -5,8 +5,9 @@
 	"strings"
 )
 
-// maxEventBytes limits one event; longer data is not an event stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes limits one event; longer data is not an event stream. An event
+// has some tokens, and a host buffers one for each of its streams.
+const maxEventBytes = 64 << 10
 
 // eventReader splits a stream into complete events and records their
 // identifiers. A stream may break off in the middle of an event, so only
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,6 +51,7 @@
 	log     zerolog.Logger
 	usage   *usage
 	metrics metrics
+	buffers bufferBudget
 
 	// crashChecks are the running checks of whether a server has crashed.
 	crashChecks sync.WaitGroup
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -65,6 +65,8 @@
 	// pinned is true once the response has begun and cannot be resumed at
 	// another server.
 	pinned atomic.Bool
+	// buffered is the number of bytes counted against the host's buffers.
+	buffered int
 	// retryPrepaid is true when the next retry has already been taken from the
 	// budget.
 	retryPrepaid atomic.Bool
@@ -83,6 +85,7 @@
 	g.addRunning(1)
 	defer g.addRunning(-1)
 	ar := &activeRequest{g: g, r: r, w: w, excluded: map[string]bool{}, missing: map[string]bool{}}
+	defer func() { g.buffers.give(ar.buffered) }()
 	err := ar.serve(ctx)
 	err = ar.tries.FinalError(err)
 	g.jitterRetryAfter(err)
