A small body takes 4 KB of the host's buffers instead of 32 KB

A response stays counted until its caller has it, and 500 responses of 800 bytes to slow callers would have taken all buffers. TestEndlessBodies as before.

--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -15,7 +15,9 @@
 	// at once. Faulty servers may send without end, and the host must stay
 	// within its memory.
 	maxBufferedBytes = 16 << 20
-	// bufferStepBytes is the size of the steps in which a body is read.
+	// firstStepBytes and bufferStepBytes are the sizes of the steps in which a
+	// body is read. Most bodies need only the first.
+	firstStepBytes  = 4 << 10
 	bufferStepBytes = 32 << 10
 )
 
@@ -52,24 +54,22 @@
 // until the request ends.
 func (ar *activeRequest) readBody(resp *Response) ([]byte, error) {
 	var body []byte
-	for {
-		if len(body) > maxResponseBytes {
-			return nil, errResponseTooLong
-		}
-		if !ar.g.buffers.take(bufferStepBytes) {
+	for size := firstStepBytes; len(body) <= maxResponseBytes; size = bufferStepBytes {
+		if !ar.g.buffers.take(size) {
 			return nil, errBuffersFull
 		}
-		ar.buffered += bufferStepBytes
-		step, err := io.ReadAll(io.LimitReader(resp.Body, bufferStepBytes))
+		ar.buffered += size
+		step, err := io.ReadAll(io.LimitReader(resp.Body, int64(size)))
 		body = append(body, step...)
 		switch {
 		case err != nil:
 			return nil, err
-		case len(step) == bufferStepBytes:
+		case len(step) == size:
 			continue
 		case resp.Length >= 0 && int64(len(body)) != resp.Length:
 			return nil, io.ErrUnexpectedEOF
 		}
 		return body, nil
 	}
+	return nil, errResponseTooLong
 }
