A refusal says that a team is beyond its rate only if the leader said so

A request that got no tokens because no call for them was sent or answered in time was refused with the text that its team is beyond its rate. The text now says that the tokens were not granted in time, unless the leader has answered that the shared bucket is empty; status and Retry-After stay. TestRefusalWithoutLeaderDoesNotBlameTeam failed before.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -242,6 +242,22 @@
 	})
 }
 
+// A refusal must say that a team is beyond its rate only if the leader said so.
+func TestRefusalWithoutLeaderDoesNotBlameTeam(t *testing.T) {
+	start(t, func(h *harness) {
+		h.respond = func(int, Attempt) reply { return reply{status: 200} }
+		_, err := h.ask("safe", func(r *Request) { r.PromptTokens = 5_000 })
+		must.NoError(t, err)
+		_, err = h.ask("safe", func(r *Request) { r.PromptTokens = 400 })
+		must.Eq(t, fault.KindRateLimited, fault.KindOf(err))
+		must.StrContains(t, err.Error(), "not granted in time")
+		now := time.Now()
+		h.rates.ApplyGrants([]quota.Grant{{Team: "red", Wait: time.Second}}, now)
+		_, err = h.ask("safe", func(r *Request) { r.PromptTokens = 400 })
+		must.StrContains(t, err.Error(), "beyond its rate")
+	})
+}
+
 // A request that crashed several servers must not reach another one, and a
 // response lost by a live server is not a crash.
 func TestCrashMarks(t *testing.T) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -11,6 +11,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/quota"
 )
 
 const (
@@ -211,24 +212,42 @@
 	ok, retryAfter := ar.g.opts.Rates.Take(ar.team.Name, cost, began)
 	switch {
 	case ok:
-		ar.tokens = "allocation"
+		ar.tokens = tokensFromAllocation
 	case retryAfter > ar.maxTokenWait():
-		ar.tokens = "none_in_time"
+		ar.tokens = tokensNoneInTime
 	default:
 		ok = ar.awaitTokens(ctx, cost, began)
 	}
 	ar.tokenWait = ar.g.opts.Now().Sub(began)
 	if !ok {
 		ar.g.metrics.tokenRefusals.Add(ar.tokens, 1)
-		wait := max(ar.g.opts.Rates.RetryAfter(ar.team.Name, ar.g.opts.Now()), tokenPollInterval)
-		return fault.Newf(fault.KindRateLimited, "send the request later", "team %s is beyond its rate of %d/s with a burst of %d",
-			ar.team.Name, ar.team.Rate, ar.team.Burst).WithRun(fault.NotRun).After(wait)
+		return ar.noTokensError()
 	}
 	ar.reserved = cost
 	ar.g.metrics.tokens.Observe(ar.tokenWait)
 	return nil
 }
 
+// The ways in which a request got its tokens, or why it got none, besides the states of
+// quota.DemandState.
+const (
+	tokensFromAllocation = "allocation"
+	tokensAfterWait      = "waited"
+	tokensNoneInTime     = "none_in_time"
+)
+
+// noTokensError returns the refusal of a request that got no tokens. Only the leader knows
+// whether the team is beyond its rate.
+func (ar *activeRequest) noTokensError() error {
+	text := "the tokens of team %s were not granted in time; its rate is %d/s with a burst of %d"
+	if ar.tokens == tokensNoneInTime || ar.tokens == string(quota.NotGranted) {
+		text = "team %s is beyond its rate of %d/s with a burst of %d"
+	}
+	wait := max(ar.g.opts.Rates.RetryAfter(ar.team.Name, ar.g.opts.Now()), tokenPollInterval)
+	return fault.Newf(fault.KindRateLimited, "send the request later", text, ar.team.Name, ar.team.Rate, ar.team.Burst).
+		WithRun(fault.NotRun).After(wait)
+}
+
 // maxTokenWait returns how long the request may wait for tokens.
 func (ar *activeRequest) maxTokenWait() time.Duration {
 	return time.Duration(float64(ar.objective()) * tokenWaitFraction)
@@ -246,9 +265,9 @@
 		now := ar.g.opts.Now()
 		ok, retryAfter := w.Try(now)
 		if ok || !alive || retryAfter > maxWait || now.Add(tokenPollInterval).After(began.Add(maxWait)) {
-			ar.tokens = "waited"
+			ar.tokens = tokensAfterWait
 			if !ok {
-				ar.tokens = w.Demand()
+				ar.tokens = string(w.Demand())
 			}
 			return ok
 		}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -111,31 +111,28 @@
 	limiter *Limiter
 	team    string
 	tokens  uint64
-	demand  demandState
+	demand  DemandState
 }
 
-// demandState is how far the demand of a waiter has come.
-type demandState int
+// DemandState is the state of a waiter's demand.
+type DemandState string
 
 const (
-	// notSent: no call to the leader has named the waiter's tokens.
-	notSent demandState = iota
-	// sent: a call has named them, and no answer has come.
-	sent
-	// answered: the leader has answered a call that named them.
-	answered
+	// NotSent: no call to the leader has named the waiter's tokens.
+	NotSent DemandState = "not_sent"
+	// NotAnswered: a call has named them, and no answer has come.
+	NotAnswered DemandState = "not_answered"
+	// NotGranted: the leader has answered a call that named them, and the shared bucket was
+	// empty.
+	NotGranted DemandState = "not_granted"
 )
 
-func (s demandState) String() string {
-	return [...]string{"not_sent", "not_answered", "not_granted"}[s]
-}
-
 // Wait registers a request for which Take had no tokens as waiting. The caller must call
 // End.
 func (l *Limiter) Wait(team string, tokens uint64) *Waiter {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w := &Waiter{limiter: l, team: team, tokens: tokens}
+	w := &Waiter{limiter: l, team: team, tokens: tokens, demand: NotSent}
 	b := l.team(team)
 	b.waiters = append(b.waiters, w)
 	return w
@@ -154,12 +151,11 @@
 	return b.take(w.tokens, now)
 }
 
-// Demand returns how far the waiter's demand has come, for the log: not_sent,
-// not_answered or not_granted.
-func (w *Waiter) Demand() string {
+// Demand returns the state of the waiter's demand.
+func (w *Waiter) Demand() DemandState {
 	w.limiter.mu.Lock()
 	defer w.limiter.mu.Unlock()
-	return w.demand.String()
+	return w.demand
 }
 
 // End ends the wait.
@@ -269,7 +265,7 @@
 	var out []Demand
 	for name, b := range l.teams {
 		if waiting := b.ungranted(); len(waiting) > 0 {
-			b.advanceDemand(notSent, sent)
+			b.advanceDemand(NotSent, NotAnswered)
 			out = append(out, Demand{Team: name, Waiting: waiting})
 		}
 	}
@@ -277,8 +273,8 @@
 	return out
 }
 
-// advanceDemand changes the demand state of the team's waiters.
-func (b *bucket) advanceDemand(from, to demandState) {
+// advanceDemand changes the state of the team's reported waiters.
+func (b *bucket) advanceDemand(from, to DemandState) {
 	for _, w := range b.waiters[:min(len(b.waiters), maxReportedWaiting)] {
 		if w.demand == from {
 			w.demand = to
@@ -295,7 +291,7 @@
 		if len(b.waiters) > 0 {
 			b.granted += g.Tokens
 		}
-		b.advanceDemand(sent, answered)
+		b.advanceDemand(NotAnswered, NotGranted)
 		b.sharedEmpty = now.Add(g.Wait)
 	}
 }
