--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -98,13 +98,14 @@
 		opts: opts, log: opts.Logger, metrics: newMetrics(opts.Meter),
 		cacheHistory: cacheHistory{unloaded: map[string][]residency.Ref{}},
 	}
-	opts.Meter.Gauge("residents_examined", c.ofLeader(func(l *leader) uint64 { return l.table.Examined() }))
-	opts.Meter.Gauge("loads_examined", c.ofLeader(func(l *leader) uint64 { return l.hosts.examined }))
+	opts.Meter.Gauge("residents_examined", c.leaderGauge(func(l *leader) uint64 { return l.table.Examined() }))
+	opts.Meter.Gauge("loads_examined", c.leaderGauge(func(l *leader) uint64 { return l.hosts.examined }))
 	return c
 }
 
-// ofLeader returns a gauge of the tables of this term; it is 0 while this host does not lead.
-func (c *Coordinator) ofLeader(read func(*leader) uint64) func() float64 {
+// leaderGauge returns a gauge that reads the leader's tables; it is 0 while this host does
+// not lead.
+func (c *Coordinator) leaderGauge(read func(*leader) uint64) func() float64 {
 	return func() float64 {
 		l := c.currentLeader()
 		if l == nil {
--- a/internal/exchange/grant.go
+++ b/internal/exchange/grant.go
@@ -15,10 +15,10 @@
 	// minGrantInterval is the minimum time between two calls, so that requests that arrive
 	// together share one.
 	minGrantInterval = 25 * time.Millisecond
-	// maxGrantCallsPerSecond limits the calls of all hosts together. With 70 hosts and
-	// 25 ms between the calls of each, a leader on one core answered no call in time.
+	// maxGrantCallsPerSecond limits the calls of all hosts together, which otherwise take
+	// the leader's processor from its other work as the fleet grows.
 	maxGrantCallsPerSecond = 900
-	// maxSavedCalls limits the calls that a host saves.
+	// maxSavedCalls limits the calls that a host saves, which all hosts may make at once.
 	maxSavedCalls = 4
 )
 
