Crash marks say how far a response was and which parts the prompt shares

Neither the line of a crash on an entry host nor the leader's mark tells whether the response had begun, or which parts of its prompt other requests share, so that the hypotheses of the incident of harmful prompt parts cannot be told apart. Both say so now, and crashes are counted by the state of the response. No decision changes.

--- a/internal/attempts/fingerprint.go
+++ b/internal/attempts/fingerprint.go
@@ -17,3 +17,9 @@
 	}
 	return h.Sum(nil)
 }
+
+// PartFingerprint identifies a part of a prompt at a service, in whatever requests it
+// occurs. It differs from the fingerprint of any request.
+func PartFingerprint(service, id string) []byte {
+	return Fingerprint([]byte("prompt part"), []byte(service), []byte(id))
+}
--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -48,7 +48,8 @@
 	for _, m := range req.GetCrashes() {
 		crashes, harmful := l.marks.RecordCrash(m, now)
 		c.log.Info().Str("event", "crash_mark").Hex("fingerprint", m.GetFingerprint()).Str("backend_server", m.GetBackendServer()).
-			Uint32("crashes", crashes).Bool("quarantine", harmful).Msg("request was in flight when the engine crashed")
+			Uint32("crashes", crashes).Bool("quarantine", harmful).Bool("answer_started", m.GetAnswerStarted()).
+			Int("prompt_parts", len(m.GetPromptParts())).Msg("request was in flight when the engine crashed")
 		if !harmful {
 			continue
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/attempts"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/h1"
@@ -136,6 +135,7 @@
 	counted := ar.g.usage.startAttempt(instance, ar.r.Weights, p.tokens, now)
 	defer counted.end()
 	ar.tries.RecordAttempt()
+	ar.answer = answerAwaited
 	ar.excluded[instance] = true
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -155,6 +155,7 @@
 	if resp.Status >= 300 || !resp.FromBackend {
 		return ar.handleErrorResponse(p, resp, last)
 	}
+	ar.answer = answerStarted
 	if ar.route.Streaming {
 		outcome, err := ar.relayStream(ctx, p, counted, resp, now)
 		return outcome, last, err
@@ -297,6 +298,7 @@
 		ar.checkCrash(p)
 		return incomplete, ar.incompleteError(err)
 	}
+	ar.answer = answerProgressed
 	ar.g.usage.recordSuccess(p.server.Instance, now)
 	ar.g.usage.recordServiceTime(p.server.Instance, now.Sub(began))
 	ar.status = resp.Status
@@ -306,36 +308,3 @@
 	}
 	return delivered, nil
 }
-
-// checkCrash checks whether a server that broke off a response has crashed,
-// and marks the request if so. Requests to a server that only lost a response
-// are not marked.
-func (ar *activeRequest) checkCrash(p placement) {
-	g, mark := ar.g, &apiv1.CrashMark{
-		Fingerprint: ar.fingerprint, BackendServer: p.server.Instance, StartId: p.server.Instance,
-		SoleSuspect: ar.soleSuspect(p.server.Instance),
-	}
-	if ar.team != nil {
-		mark.Team = ar.team.Name
-	}
-	g.crashChecks.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), silenceTimeout)
-		defer cancel()
-		if g.opts.Backend.Reachable(ctx, p.server.Address) {
-			return
-		}
-		g.usage.recordUnreachable(p.server.Instance, g.opts.Now())
-		g.usage.recordCrash(mark)
-		g.log.Info().Str("event", "crash").Str("request", ar.r.ID).Str("server", p.server.Instance).
-			Hex("fingerprint", mark.GetFingerprint()).Msg("backend server crashed with the request in flight")
-	})
-}
-
-// soleSuspect reports whether the request was the only one in flight at the
-// server.
-func (ar *activeRequest) soleSuspect(instance string) bool {
-	s := ar.g.opts.Fleet.View().Servers[instance]
-	ar.g.usage.mu.Lock()
-	defer ar.g.usage.mu.Unlock()
-	return ar.g.usage.server(instance).inFlight <= 1 && s != nil && s.OthersInFlight == 0
-}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,7 +8,7 @@
 
 type metrics struct {
 	requests, attempts            *expvar.Map
-	tokenRefusals                 *expvar.Map
+	tokenRefusals, crashes        *expvar.Map
 	retries, resumed              *expvar.Int
 	total, first, placing, tokens *meter.Histogram
 }
@@ -16,7 +16,7 @@
 func newMetrics(m *meter.Set) metrics {
 	return metrics{
 		requests: m.Counters("requests", "outcome"), attempts: m.Counters("attempts", "outcome"),
-		tokenRefusals: m.Counters("token_refusals", "reason"),
+		tokenRefusals: m.Counters("token_refusals", "reason"), crashes: m.Counters("crashes", "answer"),
 		retries:       m.Counter("repeats"), resumed: m.Counter("streams_resumed"),
 		total: m.Histogram("request_ms"), first: m.Histogram("first_event_ms"),
 		placing: m.Histogram("placing_ms"), tokens: m.Histogram("token_wait_ms"),
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -61,6 +61,8 @@
 	started      bool
 	firstEventAt time.Time
 	status       int
+	// answer is how far the response to the current attempt has come.
+	answer answerState
 	// abortErr is why a partial response was aborted.
 	abortErr error
 	// pinned is true once the response has begun and cannot be resumed at
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -17,6 +17,7 @@
 func (ar *activeRequest) relayStream(ctx context.Context, p placement, counted *inFlight, resp *Response, began time.Time) (attemptOutcome, error) {
 	instance := p.server.Instance
 	ar.events.restart()
+	before := ar.events.count
 	buf := make([]byte, readSize)
 	first := true
 	for {
@@ -31,6 +32,9 @@
 				counted.recordResponseStart()
 				ar.recordFirstEvent(p, began, now)
 			}
+			if ar.events.count-before >= progressEvents {
+				ar.answer = answerProgressed
+			}
 			if err := ar.relayEvents(resp, whole); err != nil {
 				return final, nil
 			}
@@ -76,6 +80,7 @@
 
 // endStream completes a response whose last event was relayed.
 func (ar *activeRequest) endStream(resp *Response, instance string, now time.Time) (attemptOutcome, error) {
+	ar.answer = answerProgressed
 	ar.g.usage.recordSuccess(instance, now)
 	ar.start(resp)
 	return delivered, nil
