--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,7 +17,7 @@
 	return metrics{
 		requests: m.Counters("requests", "outcome"), attempts: m.Counters("attempts", "outcome"),
 		tokenRefusals: m.Counters("token_refusals", "reason"), crashes: m.Counters("crashes", "answer"),
-		retries:       m.Counter("repeats"), resumed: m.Counter("streams_resumed"),
+		retries: m.Counter("repeats"), resumed: m.Counter("streams_resumed"),
 		total: m.Histogram("request_ms"), first: m.Histogram("first_event_ms"),
 		placing: m.Histogram("placing_ms"), tokens: m.Histogram("token_wait_ms"),
 	}
