A part of a prompt that crashes engines is named, and requests with it are refused

Cause: a crash was held against the fingerprint of the whole request only, so that no harmful request was ever marked twice. What the hosts know of a crash stayed coarse: every request in flight was marked alike, although those whose responses progress are sound, and a new leader knew nothing of earlier marks.

Now a mark names the shared parts of the prompt while the response has not progressed, and says whether its header had arrived. The leader (quarantine.PartTable) counts separate crashes for each part since a response last progressed on it, names the part with the most once there are three (five if it has ever been served), and quarantines it through the log. Hosts report responses on suspect parts, which clear them, for at least a second before a part is named. Hosts keep their marks and give them to each new leader. A request whose engine crashed as it began the response is not sent to the next one, a read that timed out and a draining engine are no evidence, and a quarantine is checked again before each attempt.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/attempts"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
 )
@@ -193,6 +194,51 @@
 	})
 }
 
+// TestHarmfulPartAcrossLeaders guards against a harmful part that each new leader has to learn of anew, and
+// against a popular part that is quarantined because it was present at the crashes.
+func TestHarmfulPartAcrossLeaders(t *testing.T) {
+	start(t, func(t *testing.T, c *Coordinator, log *fakeLog, _ *fleet) {
+		var marks []*apiv1.CrashMark
+		var crashedAt []time.Time
+		exchange := func(answered ...string) *apiv1.ExchangeResponse {
+			req := &apiv1.ExchangeRequest{Host: "h", Term: log.Lease().Term, Crashes: marks}
+			for i, m := range marks {
+				m.AgeMs = uint32(time.Since(crashedAt[i]).Milliseconds())
+			}
+			for _, part := range answered {
+				req.AnsweredParts = append(req.AnsweredParts, &apiv1.AnsweredPart{Fingerprint: attempts.PartFingerprint("llm", part)})
+			}
+			resp, err := c.Exchange(context.Background(), req)
+			must.NoError(t, err)
+			return resp
+		}
+		for i := range 3 {
+			engine := fmt.Sprint("gone", i)
+			marks = append(marks, &apiv1.CrashMark{
+				Fingerprint: attempts.Fingerprint([]byte(engine)), BackendServer: engine, StartId: engine, AnswerStarted: true,
+				PromptParts: [][]byte{attempts.PartFingerprint("llm", "popular"), attempts.PartFingerprint("llm", "bad")},
+			})
+			crashedAt = append(crashedAt, time.Now())
+			time.Sleep(100 * time.Millisecond)
+			must.SliceEmpty(t, exchange("popular").GetQuarantined())
+			time.Sleep(200 * time.Millisecond)
+			if i == 1 {
+				must.Len(t, 1, exchange().GetSuspectParts())
+				log.set(func(l *fakeLog) { l.term = 2 })
+				time.Sleep(time.Second)
+			}
+		}
+		time.Sleep(1500 * time.Millisecond)
+		quarantined := exchange("popular").GetQuarantined()
+		must.Len(t, 1, quarantined)
+		must.Eq(t, attempts.PartFingerprint("llm", "bad"), quarantined[0].GetFingerprint())
+		log.set(func(l *fakeLog) { l.term = 3 })
+		time.Sleep(time.Second)
+		marks = nil
+		must.Len(t, 1, exchange().GetQuarantined(), must.Sprint("the quarantine ended with its leader"))
+	})
+}
+
 // The next leader must know which adapters an engine has cached. Otherwise it counts
 // loads from the engine's cache as loads from the weight store.
 func TestCacheHistory(t *testing.T) {
--- /dev/null
+++ b/internal/coordinator/crashes.go
@@ -0,0 +1,53 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+)
+
+// recordCrashes records crash marks and responses that progressed, and quarantines requests that
+// crash engines repeatedly.
+func (c *Coordinator) recordCrashes(l *leader, req *apiv1.ExchangeRequest, now time.Time) {
+	for _, m := range req.GetCrashes() {
+		l.parts.RecordCrash(m, now)
+		crashes, harmful := l.marks.RecordCrash(m, now)
+		c.log.Info().Str("event", "crash_mark").Hex("fingerprint", m.GetFingerprint()).Str("backend_server", m.GetBackendServer()).
+			Uint32("crashes", crashes).Bool("quarantine", harmful).Bool("answer_started", m.GetAnswerStarted()).
+			Int("prompt_parts", len(m.GetPromptParts())).Msg("request was in flight when the engine crashed")
+		if harmful {
+			l.mu.Lock()
+			l.propose(&apiv1.PutQuarantine{Fingerprint: m.GetFingerprint(), Team: m.GetTeam(), Crashes: crashes}, func() {})
+			l.mu.Unlock()
+		}
+	}
+	for _, a := range req.GetAnsweredParts() {
+		l.parts.RecordAnswer(a.GetFingerprint(), now.Add(-time.Duration(a.GetAgeMs())*time.Millisecond))
+	}
+}
+
+// quarantineParts quarantines the parts of prompts that are found to crash engines.
+func (l *leader) quarantineParts(now time.Time) {
+	for _, p := range l.parts.Name(now) {
+		l.log.Warn().Str("event", "part_quarantined").Hex("fingerprint", p.Fingerprint).Int("crashes", p.Crashes).
+			Msg("part of prompts crashes engines; requests with it are refused")
+		l.propose(&apiv1.PutQuarantine{Fingerprint: p.Fingerprint, Crashes: uint32(p.Crashes), PromptPart: true},
+			func() { l.parts.Unname(p.Fingerprint) })
+	}
+}
+
+// propose records a quarantine in the background; failed is called when it cannot be recorded. The
+// caller holds mu.
+func (l *leader) propose(q *apiv1.PutQuarantine, failed func()) {
+	q.UntilUnixMs = time.Now().Add(quarantineDuration).UnixMilli()
+	cmd := &apiv1.Command{UnixMs: time.Now().UnixMilli(), Command: &apiv1.Command_PutQuarantine{PutQuarantine: q}}
+	l.background(func() {
+		ctx, cancel := context.WithTimeout(l.ctx, proposeTimeout)
+		defer cancel()
+		if _, err := l.c.opts.Log.Propose(ctx, cmd); err != nil {
+			l.log.Warn().Err(err).Str("event", "quarantine_not_recorded").Msg("quarantine not recorded, it is retried")
+			failed()
+		}
+	})
+}
--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -33,7 +33,7 @@
 	l.addAllocations(req, resp, now)
 	l.addState(req, resp)
 	l.addFleet(req, resp, now)
-	resp.Suspects = l.marks.Suspects(now)
+	resp.Suspects, resp.SuspectParts = l.marks.Suspects(now), l.parts.Suspects(now)
 	for _, q := range c.machine().Quarantined(time.Now().UnixMilli()) {
 		resp.Quarantined = append(resp.Quarantined, &apiv1.Quarantined{
 			Fingerprint: q.GetFingerprint(), RemainingMs: q.GetUntilUnixMs() - time.Now().UnixMilli(),
@@ -42,37 +42,6 @@
 	return resp, nil
 }
 
-// recordCrashes counts crash marks and quarantines requests that crash engines
-// repeatedly.
-func (c *Coordinator) recordCrashes(l *leader, req *apiv1.ExchangeRequest, now time.Time) {
-	for _, m := range req.GetCrashes() {
-		crashes, harmful := l.marks.RecordCrash(m, now)
-		c.log.Info().Str("event", "crash_mark").Hex("fingerprint", m.GetFingerprint()).Str("backend_server", m.GetBackendServer()).
-			Uint32("crashes", crashes).Bool("quarantine", harmful).Bool("answer_started", m.GetAnswerStarted()).
-			Int("prompt_parts", len(m.GetPromptParts())).Msg("request was in flight when the engine crashed")
-		if !harmful {
-			continue
-		}
-		cmd := &apiv1.Command{
-			UnixMs: time.Now().UnixMilli(),
-			Command: &apiv1.Command_PutQuarantine{PutQuarantine: &apiv1.PutQuarantine{
-				Fingerprint: m.GetFingerprint(), UntilUnixMs: time.Now().Add(quarantineDuration).UnixMilli(),
-			}},
-		}
-		l.mu.Lock()
-		l.background(func() { l.recordQuarantine(cmd) })
-		l.mu.Unlock()
-	}
-}
-
-func (l *leader) recordQuarantine(cmd *apiv1.Command) {
-	ctx, cancel := context.WithTimeout(l.ctx, proposeTimeout)
-	defer cancel()
-	if _, err := l.c.opts.Log.Propose(ctx, cmd); err != nil {
-		l.log.Warn().Err(err).Str("event", "quarantine_not_recorded").Msg("quarantine not recorded, it is retried at the next crash mark")
-	}
-}
-
 // applyReport records what the host has in flight and the requests that arrived
 // at it.
 func (l *leader) applyReport(req *apiv1.ExchangeRequest, now time.Time) {
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -36,6 +36,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	marks  *quarantine.Table
+	parts  *quarantine.PartTable
 
 	mu        sync.Mutex
 	stopped   bool
@@ -63,7 +64,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	l := &leader{
 		c: c, term: lease.Term, log: c.log.With().Uint64("term", lease.Term).Logger(), ctx: ctx, cancel: cancel,
-		marks: quarantine.NewTable(quarantine.Options{}), table: residency.New(residency.Options{}), allocator: quota.NewAllocator(now),
+		marks: quarantine.NewTable(quarantine.Options{}), parts: quarantine.NewPartTable(quarantine.PartOptions{}),
+		table: residency.New(residency.Options{}), allocator: quota.NewAllocator(now),
 		hosts: newHostUsage(), jobs: map[jobKey]*job{}, progress: make(chan struct{}),
 		reporting: map[string]bool{}, holders: newHolderTable(),
 	}
@@ -93,6 +95,7 @@
 	defer l.mu.Unlock()
 	l.syncStateLocked(now)
 	l.expireHosts(now)
+	l.quarantineParts(now)
 	if !l.listing && !now.Before(l.nextList) {
 		l.listing = true
 		l.background(l.readList)
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -297,6 +297,7 @@
 		c.epochs.fleet = resp.GetFleetEpoch()
 	}
 	v.Quarantined, v.Suspects = decodeQuarantine(resp, now)
+	v.SuspectParts = resp.GetSuspectParts()
 	v.Confirmed, v.Hosts, v.Term = sent, int(resp.GetHosts()), term
 	c.view.Store(v)
 }
--- a/internal/exchange/view.go
+++ b/internal/exchange/view.go
@@ -35,6 +35,9 @@
 	// Suspects the fingerprints that were in flight at a crash.
 	Quarantined map[string]time.Time
 	Suspects    map[string]bool
+	// SuspectParts are the fingerprints of parts of prompts on which responses are to be
+	// reported. Quarantined holds those of the parts that crash engines too.
+	SuspectParts [][]byte
 	// Hosts is the number of entry hosts.
 	Hosts int
 	// Term is the leader's term.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,6 +67,9 @@
 	for {
 		began := ar.g.opts.Now()
 		p, err := ar.placeAttempt(ctx)
+		if err == nil {
+			err = ar.checkQuarantine(ar.g.opts.Fleet.View(), ar.g.opts.Now())
+		}
 		ar.g.metrics.placing.Observe(ar.g.opts.Now().Sub(began))
 		if err != nil {
 			if failure == nil {
@@ -82,7 +85,7 @@
 		if outcome == delivered {
 			return nil
 		}
-		if outcome == final || ctx.Err() != nil || !ar.tries.MayRetry(ar.next(outcome), budget, ar.g.opts.Now()) {
+		if outcome == final || ar.suspect || ctx.Err() != nil || !ar.tries.MayRetry(ar.next(outcome), budget, ar.g.opts.Now()) {
 			break
 		}
 		ar.g.metrics.retries.Add(1)
@@ -295,10 +298,12 @@
 	now := ar.g.opts.Now()
 	if err != nil {
 		ar.g.usage.recordFailure(p.server.Instance, now)
-		ar.checkCrash(p)
+		if !timedOut(err) {
+			ar.checkCrash(p)
+		}
 		return incomplete, ar.incompleteError(err)
 	}
-	ar.answer = answerProgressed
+	ar.recordProgress(now)
 	ar.g.usage.recordSuccess(p.server.Instance, now)
 	ar.g.usage.recordServiceTime(p.server.Instance, now.Sub(began))
 	ar.status = resp.Status
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/attempts"
+	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 )
 
 // answerState is how far the response to the current attempt has come.
@@ -25,24 +29,66 @@
 
 func (s answerState) String() string { return [...]string{"awaited", "started", "progressed"}[s] }
 
+// crashVerdictWait is how long a retry waits to learn whether the server crashed: a crashed
+// server refuses a connection within a round trip.
+const crashVerdictWait = 100 * time.Millisecond
+
 // checkCrash checks whether a server that broke off a response has crashed,
 // and marks the request if so. Requests to a server that only lost a response
-// are not marked.
+// are not marked. It waits for the result if the request may be the cause.
 func (ar *activeRequest) checkCrash(p placement) {
 	g, mark, answer := ar.g, ar.crashMark(p), ar.answer
+	verdict := make(chan bool, 1)
 	g.crashChecks.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), silenceTimeout)
 		defer cancel()
-		if g.opts.Backend.Reachable(ctx, p.server.Address) {
+		crashed := !g.opts.Backend.Reachable(ctx, p.server.Address)
+		verdict <- crashed
+		if !crashed {
 			return
 		}
-		g.usage.recordUnreachable(p.server.Instance, g.opts.Now())
-		g.usage.recordCrash(mark)
+		now := g.opts.Now()
+		g.usage.recordUnreachable(p.server.Instance, now)
+		g.usage.recordCrash(mark, now)
 		g.metrics.crashes.Add(answer.String(), 1)
 		g.log.Info().Str("event", "crash").Str("request", ar.r.ID).Str("server", p.server.Instance).
 			Hex("fingerprint", mark.GetFingerprint()).Stringer("answer", answer).Strs("prompt_parts", ar.sharedPartIDs()).
 			Msg("backend server crashed with the request in flight")
 	})
+	if answer != answerStarted || ar.g.answered.All(ar.parts) {
+		return
+	}
+	select {
+	case ar.suspect = <-verdict:
+	case <-time.After(crashVerdictWait):
+	}
+}
+
+// recordProgress records that the engine survived the start of the response.
+func (ar *activeRequest) recordProgress(now time.Time) {
+	if ar.answer == answerProgressed {
+		return
+	}
+	ar.answer = answerProgressed
+	ar.g.answered.Record(ar.parts, now)
+}
+
+// checkQuarantine refuses a request that is quarantined, or whose prompt has a part that is.
+func (ar *activeRequest) checkQuarantine(v *exchange.View, now time.Time) error {
+	blocked := func(fingerprint []byte) bool {
+		until, ok := v.Quarantined[string(fingerprint)]
+		return ok && now.Before(until)
+	}
+	switch {
+	case len(v.Quarantined) == 0:
+	case blocked(ar.fingerprint):
+		return fault.New(fault.KindQuarantined, "this request has crashed several backend servers", "change the request").
+			WithRun(fault.NotRun)
+	case slices.ContainsFunc(ar.parts, blocked):
+		return fault.New(fault.KindQuarantined, "a part of this prompt has crashed several backend servers", "change the prompt").
+			WithRun(fault.NotRun)
+	}
+	return nil
 }
 
 // crashMark returns the mark of the request for a crash of its server now.
@@ -54,8 +100,8 @@
 	if ar.team != nil {
 		mark.Team = ar.team.Name
 	}
-	if ar.answer != answerProgressed {
-		mark.PromptParts = ar.partFingerprints()
+	if ar.answer != answerProgressed && !p.server.Draining {
+		mark.PromptParts = ar.parts
 	}
 	return mark
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/balance"
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
 	"github.com/jasminesaddle/jasminesaddle/internal/meter"
+	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 	"github.com/jasminesaddle/jasminesaddle/internal/quota"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
 	"github.com/jasminesaddle/jasminesaddle/internal/retry"
@@ -52,6 +54,8 @@
 	usage   *usage
 	metrics metrics
 	buffers bufferBudget
+	// answered holds the parts of prompts on which responses progressed.
+	answered *quarantine.AnsweredParts
 
 	// crashChecks are the running checks of whether a server has crashed.
 	crashChecks sync.WaitGroup
@@ -69,7 +73,8 @@
 	}
 	return &Gateway{
 		opts: opts, log: opts.Logger, usage: newUsage(), metrics: newMetrics(opts.Meter),
-		rng: rand.New(rand.NewPCG(opts.Seed, 0x67617465)), budgets: map[string]*retry.Budget{},
+		answered: quarantine.NewAnsweredParts(),
+		rng:      rand.New(rand.NewPCG(opts.Seed, 0x67617465)), budgets: map[string]*retry.Budget{},
 	}
 }
 
@@ -86,7 +91,15 @@
 func (g *Gateway) SetFleet(f Fleet) { g.opts.Fleet = f }
 
 // Report adds this host's usage of the fleet to an exchange request.
-func (g *Gateway) Report(req *apiv1.ExchangeRequest) { g.usage.Report(req) }
+func (g *Gateway) Report(req *apiv1.ExchangeRequest) {
+	now := g.opts.Now()
+	g.usage.Report(req, now)
+	parts := slices.Clone(g.opts.Fleet.View().SuspectParts)
+	for _, m := range req.GetCrashes() {
+		parts = append(parts, m.GetPromptParts()...)
+	}
+	req.AnsweredParts = g.answered.Report(parts, now)
+}
 
 // Reported records whether the leader received the last report.
 func (g *Gateway) Reported(ok bool) { g.usage.Reported(ok) }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -48,6 +48,8 @@
 	tokens      string
 	tokenWait   time.Duration
 	fingerprint []byte
+	// parts are the fingerprints of the parts of the prompt that other requests may share.
+	parts [][]byte
 
 	tries attempts.Attempts
 	// loads counts the requests to the leader for an engine with the adapter.
@@ -63,6 +65,9 @@
 	status       int
 	// answer is how far the response to the current attempt has come.
 	answer answerState
+	// suspect is true when a server crashed as it began the response, and no response is known
+	// to have progressed on a prompt with the same parts.
+	suspect bool
 	// abortErr is why a partial response was aborted.
 	abortErr error
 	// pinned is true once the response has begun and cannot be resumed at
@@ -157,11 +162,10 @@
 	}
 	ar.r.Generation = ar.r.Generation && ar.service.Engine != nil
 	ar.fingerprint = ar.computeFingerprint()
-	if until, ok := v.Quarantined[string(ar.fingerprint)]; ok && now.Before(until) {
-		return fault.New(fault.KindQuarantined, "this request has crashed several backend servers", "change the request").
-			WithRun(fault.NotRun)
+	if ar.r.Generation {
+		ar.parts = ar.partFingerprints()
 	}
-	return nil
+	return ar.checkQuarantine(v, now)
 }
 
 // refuseUnknown returns the refusal, or a stale view error when the view is
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,7 +34,7 @@
 				ar.recordFirstEvent(p, began, now)
 			}
 			if ar.events.count-before >= progressEvents {
-				ar.answer = answerProgressed
+				ar.recordProgress(now)
 			}
 			if err := ar.relayEvents(resp, whole); err != nil {
 				return final, nil
@@ -80,7 +81,7 @@
 
 // endStream completes a response whose last event was relayed.
 func (ar *activeRequest) endStream(resp *Response, instance string, now time.Time) (attemptOutcome, error) {
-	ar.answer = answerProgressed
+	ar.recordProgress(now)
 	ar.g.usage.recordSuccess(instance, now)
 	ar.start(resp)
 	return delivered, nil
@@ -92,7 +93,7 @@
 		return final, ar.noResponseError(ctx, true)
 	}
 	ar.g.usage.recordFailure(p.server.Instance, now)
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || timedOut(err) {
 		ar.g.usage.recordUnreachable(p.server.Instance, now)
 		ar.g.opts.DropConnections(p.server.Address)
 	} else {
@@ -100,3 +101,10 @@
 	}
 	return incomplete, ar.incompleteError(err)
 }
+
+// timedOut reports whether a connection ended because the server's host sent nothing, not even
+// acknowledgements. Such a server is cut off or suspended.
+func timedOut(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -17,7 +17,7 @@
 	mu       sync.Mutex
 	servers  map[string]*serverUsage
 	arrivals map[residency.Ref]*arrivalCount
-	crashes  []*apiv1.CrashMark
+	marks    crashMarks
 	// unconfirmed is the content of the report in transit.
 	unconfirmed unconfirmed
 }
@@ -29,7 +29,6 @@
 
 type unconfirmed struct {
 	arrivals map[residency.Ref]*arrivalCount
-	crashes  []*apiv1.CrashMark
 }
 
 // serverUsage is this host's state of one backend server.
@@ -143,14 +142,14 @@
 	a.tokens += uint64(tokens)
 }
 
-func (u *usage) recordCrash(m *apiv1.CrashMark) {
+func (u *usage) recordCrash(m *apiv1.CrashMark, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.crashes = append(u.crashes, m)
+	u.marks.record(m, now)
 }
 
 // Report adds this host's usage of the fleet to the request.
-func (u *usage) Report(req *apiv1.ExchangeRequest) {
+func (u *usage) Report(req *apiv1.ExchangeRequest, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for instance, s := range u.servers {
@@ -159,14 +158,14 @@
 		}
 	}
 	slices.SortFunc(req.Loads, func(a, b *apiv1.HostLoad) int { return strings.Compare(a.GetInstance(), b.GetInstance()) })
-	u.unconfirmed = unconfirmed{arrivals: u.arrivals, crashes: u.crashes}
-	u.arrivals, u.crashes = map[residency.Ref]*arrivalCount{}, nil
+	u.unconfirmed = unconfirmed{arrivals: u.arrivals}
+	u.arrivals = map[residency.Ref]*arrivalCount{}
 	for ref, a := range u.unconfirmed.arrivals {
 		req.Demand = append(req.Demand, &apiv1.AdapterArrivals{
 			Model: ref.Model, Adapter: ref.Adapter, Arrivals: uint32(a.requests), Tokens: a.tokens,
 		})
 	}
-	req.Crashes = u.unconfirmed.crashes
+	req.Crashes = u.marks.report(req.GetTerm(), now)
 }
 
 func (s *serverUsage) report(instance string) *apiv1.HostLoad {
@@ -185,9 +184,9 @@
 	last := u.unconfirmed
 	u.unconfirmed = unconfirmed{}
 	if ok {
+		u.marks.confirm()
 		return
 	}
-	u.crashes = append(last.crashes, u.crashes...)
 	for ref, a := range last.arrivals {
 		if have := u.arrivals[ref]; have != nil {
 			have.requests += a.requests
--- /dev/null
+++ b/internal/quarantine/answered.go
@@ -0,0 +1,76 @@
+package quarantine
+
+import (
+	"container/list"
+	"sync"
+	"time"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+)
+
+// maxAnsweredParts limits an AnsweredParts. An entry takes about 200 bytes.
+const maxAnsweredParts = 8192
+
+// AnsweredParts records on an entry host when a response last progressed on each part of a
+// prompt. The least recently answered parts are dropped. It is safe for concurrent use.
+type AnsweredParts struct {
+	mu    sync.Mutex
+	parts map[string]*list.Element
+	order *list.List // of answeredPart, least recently answered first
+}
+
+type answeredPart struct {
+	fingerprint string
+	at          time.Time
+}
+
+// NewAnsweredParts returns an empty record.
+func NewAnsweredParts() *AnsweredParts {
+	return &AnsweredParts{parts: map[string]*list.Element{}, order: list.New()}
+}
+
+// Record records that a response on the parts progressed.
+func (a *AnsweredParts) Record(fingerprints [][]byte, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, f := range fingerprints {
+		if e := a.parts[string(f)]; e != nil {
+			e.Value = answeredPart{string(f), now}
+			a.order.MoveToBack(e)
+			continue
+		}
+		a.parts[string(f)] = a.order.PushBack(answeredPart{string(f), now})
+		if a.order.Len() > maxAnsweredParts {
+			delete(a.parts, a.order.Remove(a.order.Front()).(answeredPart).fingerprint)
+		}
+	}
+}
+
+// All reports whether a response has progressed on each of the parts.
+func (a *AnsweredParts) All(fingerprints [][]byte) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, f := range fingerprints {
+		if a.parts[string(f)] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Report returns the last responses on those of the parts that are known.
+func (a *AnsweredParts) Report(fingerprints [][]byte, now time.Time) []*apiv1.AnsweredPart {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []*apiv1.AnsweredPart
+	for _, f := range fingerprints {
+		if e := a.parts[string(f)]; e != nil {
+			age := now.Sub(e.Value.(answeredPart).at)
+			out = append(out, &apiv1.AnsweredPart{Fingerprint: f, AgeMs: uint32(min(max(0, age), maxAge).Milliseconds())})
+		}
+	}
+	return out
+}
+
+// maxAge is the highest age that is reported, far above any retention.
+const maxAge = 30 * 24 * time.Hour
--- /dev/null
+++ b/internal/quarantine/parts.go
@@ -0,0 +1,314 @@
+package quarantine
+
+import (
+	"bytes"
+	"cmp"
+	"container/list"
+	"slices"
+	"sync"
+	"time"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+)
+
+// PartOptions are the limits of a PartTable. Zero fields select the defaults.
+type PartOptions struct {
+	// Crashes is the number of crashes that names a part on which no response has ever
+	// progressed, CrashesAfterAnswer the number since the last one that did.
+	Crashes, CrashesAfterAnswer int
+	// Separation is the minimum time between two crashes that both count: engines of one
+	// failure domain crash together without any request causing it.
+	Separation time.Duration
+	// Clearance is the time that hosts have to report responses on a suspect part before it
+	// is named: two exchanges with the leader and their delays.
+	Clearance time.Duration
+	// Retention is how long the evidence against a part is retained after its last crash.
+	Retention time.Duration
+	// MaxParts limits the parts with evidence. Parts with less than two crashes are evicted first.
+	MaxParts int
+	// MaxCrashes limits the crashes whose parts are retained; the oldest is dropped first.
+	MaxCrashes int
+}
+
+func (o PartOptions) withDefaults() PartOptions {
+	o.Crashes = cmp.Or(o.Crashes, 3)
+	o.CrashesAfterAnswer = cmp.Or(o.CrashesAfterAnswer, 5)
+	o.Separation = cmp.Or(o.Separation, 200*time.Millisecond)
+	o.Clearance = cmp.Or(o.Clearance, time.Second)
+	o.Retention = cmp.Or(o.Retention, time.Hour)
+	o.MaxParts = cmp.Or(o.MaxParts, 4096)
+	o.MaxCrashes = cmp.Or(o.MaxCrashes, 1024)
+	return o
+}
+
+// partCrash is a crash with the parts of the requests whose responses had not progressed.
+type partCrash struct {
+	id crash
+	at time.Time
+	// started holds the parts of requests whose response header had arrived.
+	started map[string]bool
+	// explained is true once a part that was present has been named as the cause.
+	explained bool
+}
+
+// suspectPart is the evidence against one part.
+type suspectPart struct {
+	fingerprint string
+	// position is the part's highest position in a prompt.
+	position int
+	// crashes are those at which the part was present, after the last response on it.
+	crashes []*partCrash
+	// answeredAt is when a response on the part last progressed; zero if none is known.
+	answeredAt time.Time
+	// listedAt is when the part was last found present at a second crash.
+	listedAt time.Time
+	last     time.Time
+	named    bool
+	element  *list.Element
+}
+
+// NamedPart is a part that crashes engines.
+type NamedPart struct {
+	Fingerprint []byte
+	Crashes     int
+}
+
+// PartTable finds the parts of prompts that crash every engine that begins a response on
+// them. A crash is evidence against the parts of the requests whose responses had not
+// progressed, a response that progressed is evidence for its parts. It is safe for concurrent
+// use.
+type PartTable struct {
+	mu      sync.Mutex
+	opts    PartOptions
+	parts   map[string]*suspectPart
+	crashes map[crash]*partCrash
+	order   *list.List // crashes, first recorded first
+	single  *list.List // parts with one crash or none since the last response, oldest first
+	several *list.List // the others, oldest mark first
+}
+
+// NewPartTable returns an empty table.
+func NewPartTable(opts PartOptions) *PartTable {
+	return &PartTable{
+		opts: opts.withDefaults(), parts: map[string]*suspectPart{}, crashes: map[crash]*partCrash{},
+		order: list.New(), single: list.New(), several: list.New(),
+	}
+}
+
+// RecordCrash records the parts of a request that was in flight at a crash. A repeated mark
+// changes nothing.
+func (t *PartTable) RecordCrash(m *apiv1.CrashMark, now time.Time) {
+	if len(m.GetPromptParts()) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	c := t.crash(m, now)
+	for i, fingerprint := range m.GetPromptParts() {
+		t.add(string(fingerprint), i, c, m.GetAnswerStarted(), now)
+	}
+	for len(t.parts) > t.opts.MaxParts {
+		e := t.single.Front()
+		if e == nil {
+			e = t.several.Front()
+		}
+		t.remove(e.Value.(*suspectPart))
+	}
+}
+
+func (t *PartTable) crash(m *apiv1.CrashMark, now time.Time) *partCrash {
+	id := crash{m.GetBackendServer(), m.GetStartId()}
+	c := t.crashes[id]
+	if c == nil {
+		c = &partCrash{id: id, at: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond), started: map[string]bool{}}
+		t.crashes[id] = c
+		t.order.PushBack(c)
+		if t.order.Len() > t.opts.MaxCrashes {
+			delete(t.crashes, t.order.Remove(t.order.Front()).(*partCrash).id)
+		}
+	}
+	return c
+}
+
+func (t *PartTable) add(fingerprint string, position int, c *partCrash, started bool, now time.Time) {
+	p := t.parts[fingerprint]
+	if p == nil {
+		p = &suspectPart{fingerprint: fingerprint}
+		t.parts[fingerprint] = p
+		p.element = t.single.PushBack(p)
+	}
+	p.position = max(p.position, position)
+	if started {
+		c.started[fingerprint] = true
+	}
+	if slices.Contains(p.crashes, c) || !c.at.After(p.answeredAt) {
+		return
+	}
+	p.crashes, p.last = append(p.crashes, c), now
+	if len(p.crashes) == 2 {
+		p.listedAt = now
+	}
+	t.relink(p)
+}
+
+// relink moves the part to the end of the list to which it belongs.
+func (t *PartTable) relink(p *suspectPart) {
+	t.unlink(p)
+	to := t.single
+	if len(p.crashes) > 1 {
+		to = t.several
+	}
+	p.element = to.PushBack(p)
+}
+
+// RecordAnswer records that a response on the part progressed. It clears the part of the
+// crashes before.
+func (t *PartTable) RecordAnswer(fingerprint []byte, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.parts[string(fingerprint)]
+	if p == nil || !at.After(p.answeredAt) {
+		return
+	}
+	p.answeredAt = at
+	if p.named {
+		return
+	}
+	p.crashes = slices.DeleteFunc(p.crashes, func(c *partCrash) bool { return !c.at.After(at) })
+	if len(p.crashes) < 2 {
+		t.relink(p)
+	}
+}
+
+const (
+	// suspectListing is how long a part is listed after its last crash. Hosts have reported
+	// all responses on it long before.
+	suspectListing = 30 * time.Second
+	// maxListedSuspects limits a list, which each exchange carries.
+	maxListedSuspects = 128
+)
+
+// Suspects returns the fingerprints of the parts that were lately present at several crashes,
+// in order. Hosts report the responses on them.
+func (t *PartTable) Suspects(now time.Time) [][]byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out [][]byte
+	for e := t.several.Back(); e != nil && len(out) < maxListedSuspects; e = e.Prev() {
+		p := e.Value.(*suspectPart)
+		if now.Sub(p.last) > suspectListing {
+			break
+		}
+		if !p.named {
+			out = append(out, []byte(p.fingerprint))
+		}
+	}
+	slices.SortFunc(out, bytes.Compare)
+	return out
+}
+
+// Name returns the parts that are found harmful at the time and were not returned before.
+func (t *PartTable) Name(now time.Time) []NamedPart {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []NamedPart
+	for {
+		p, n := t.mostSuspect(now)
+		if p == nil {
+			return out
+		}
+		p.named = true
+		for _, c := range p.crashes {
+			c.explained = true
+		}
+		out = append(out, NamedPart{Fingerprint: []byte(p.fingerprint), Crashes: n})
+	}
+}
+
+// Unname has Name return a part again whose quarantine could not be recorded.
+func (t *PartTable) Unname(fingerprint []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.parts[string(fingerprint)]
+	if p == nil {
+		return
+	}
+	p.named = false
+	for _, c := range p.crashes {
+		c.explained = false
+	}
+}
+
+// mostSuspect returns the part with the most crashes of those that have enough. Only one is
+// named for a crash: a part that accompanies the harmful one is cleared by later responses, or
+// has crashes of its own. Of parts that always occur together, the last in the prompt is in
+// the fewest other requests.
+func (t *PartTable) mostSuspect(now time.Time) (best *suspectPart, crashes int) {
+	for e := t.several.Front(); e != nil; e = e.Next() {
+		p := e.Value.(*suspectPart)
+		if p.named || len(p.crashes) < t.opts.Crashes || now.Sub(p.listedAt) < t.opts.Clearance {
+			continue
+		}
+		n, needed := t.count(p), t.opts.Crashes
+		if !p.answeredAt.IsZero() {
+			needed = t.opts.CrashesAfterAnswer
+		}
+		if n >= needed && (best == nil || cmp.Or(cmp.Compare(n, crashes), cmp.Compare(p.position, best.position),
+			cmp.Compare(best.fingerprint, p.fingerprint)) > 0) {
+			best, crashes = p, n
+		}
+	}
+	return best, crashes
+}
+
+// count returns the number of separate crashes that the part may have caused.
+func (t *PartTable) count(p *suspectPart) int {
+	slices.SortStableFunc(p.crashes, func(a, b *partCrash) int { return a.at.Compare(b.at) })
+	n, last := 0, time.Time{}
+	for _, c := range p.crashes {
+		if c.explained || !t.suspectAt(c, p) || n > 0 && c.at.Sub(last) < t.opts.Separation {
+			continue
+		}
+		n, last = n+1, c.at
+	}
+	return n
+}
+
+// suspectAt reports whether the part may have caused the crash. A request whose response had
+// just started is suspected before one that waited for its response, unless responses have
+// progressed on its parts.
+func (t *PartTable) suspectAt(c *partCrash, p *suspectPart) bool {
+	if c.started[p.fingerprint] {
+		return true
+	}
+	for fingerprint := range c.started {
+		if other := t.parts[fingerprint]; other != nil && other.answeredAt.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *PartTable) expire(now time.Time) {
+	for _, l := range []*list.List{t.single, t.several} {
+		for e := l.Front(); e != nil; e = l.Front() {
+			p := e.Value.(*suspectPart)
+			if now.Sub(p.last) < t.opts.Retention {
+				break
+			}
+			t.remove(p)
+		}
+	}
+}
+
+func (t *PartTable) remove(p *suspectPart) {
+	t.unlink(p)
+	delete(t.parts, p.fingerprint)
+}
+
+// unlink removes the part from its list. Remove has no effect on an element of another list.
+func (t *PartTable) unlink(p *suspectPart) {
+	t.single.Remove(p.element)
+	t.several.Remove(p.element)
+}
