--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -309,7 +309,9 @@
 				}
 			}
 		}
-		h.respond = func(int, Attempt) reply { return reply{status: 200, body: &body{pieces: []string{event("1"), event("2")}}} }
+		h.respond = func(int, Attempt) reply {
+			return reply{status: 200, body: &body{pieces: []string{event("1"), event("2")}}}
+		}
 		_, err := h.ask("stream", prompt("known"))
 		must.NoError(t, err)
 		for _, n := range []string{"1", "2", "3"} {
@@ -346,7 +348,9 @@
 		must.Eq(t, fault.KindQuarantined, fault.KindOf(err))
 		must.Eq(t, fault.NotRun, runOf(t, err))
 		must.Eq(t, before, len(h.sent))
-		h.respond = func(int, Attempt) reply { return reply{status: 200, body: &body{pieces: []string{event("1"), event("2")}}} }
+		h.respond = func(int, Attempt) reply {
+			return reply{status: 200, body: &body{pieces: []string{event("1"), event("2")}}}
+		}
 		time.Sleep(time.Minute)
 		h.view.Confirmed = time.Now()
 		_, err = h.ask("stream", prompt("known", "other"))
