A harmful message is named and refused on the OpenAI-style interface too

The same cause as on the platform: the quarantine held a fingerprint of the whole request, so that a message that crashes engines in conversations of which no two are alike was never found, and a new leader knew nothing of earlier marks. The messages of a chat request but the last are the parts of its prompt; marks, responses that progress and suspects go through the reports, and the leader names parts with the same table. Hosts keep their marks in the same log.

TestHarmfulMessage and TestHarmfulPartIsQuarantined do not build on the code before, which has no parts.

--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -46,6 +46,9 @@
 	}
 	now := time.Now()
 	l.applyCrashMarks(req.GetCrashes(), now)
+	for _, a := range req.GetAnsweredParts() {
+		l.parts.RecordAnswer(a.GetFingerprint(), now.Add(-time.Duration(a.GetAgeMs())*time.Millisecond))
+	}
 	resp := l.fleet.Report(req, now)
 	l.addSuspects(req, resp, now)
 	return resp, nil
@@ -55,25 +58,29 @@
 // unless the host's digest shows that it has them. They rarely change, and
 // would otherwise be the largest part of every response for an hour after a crash.
 func (l *leader) addSuspects(req *apiv1.ReportRequest, resp *apiv1.ReportResponse, now time.Time) {
-	suspects := l.marks.Suspects(now)
+	suspects, parts := l.marks.Suspects(now), l.parts.Suspects(now)
 	quarantines := l.s.machine.Quarantined(now.UnixMilli())
-	resp.SuspectsDigest = suspectsDigest(suspects, quarantines)
+	resp.SuspectsDigest = suspectsDigest(suspects, parts, quarantines)
 	if req.GetSuspectsDigest() == resp.GetSuspectsDigest() {
 		return
 	}
-	resp.Suspects = suspects
+	resp.Suspects, resp.SuspectParts = suspects, parts
 	for _, q := range quarantines {
 		resp.Quarantined = append(resp.Quarantined, quarantinedMessage(q, now))
 	}
 }
 
-// suspectsDigest returns a hash of both lists, which must be sorted. It is never
+// suspectsDigest returns a hash of the lists, which must be sorted. It is never
 // 0, the value that a host without lists sends.
-func suspectsDigest(suspects []*apiv1.Suspect, quarantines []*apiv1.PutQuarantine) uint64 {
+func suspectsDigest(suspects []*apiv1.Suspect, parts [][]byte, quarantines []*apiv1.PutQuarantine) uint64 {
 	h := xxhash.New()
 	for _, s := range suspects {
 		_, _ = h.Write(s.GetFingerprint())
 	}
+	for _, p := range parts {
+		_, _ = h.Write([]byte("part"))
+		_, _ = h.Write(p)
+	}
 	for _, q := range quarantines {
 		_, _ = h.Write(q.GetFingerprint())
 		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(q.GetUntilUnixMs())))
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -38,6 +38,7 @@
 	fleet      *fleet.Table
 	lender     *rate.Lender
 	marks      *quarantine.Table
+	parts      *quarantine.PartTable
 	dispatcher *dispatcher
 	// pendingQuarantines holds the fingerprints whose quarantine is being committed.
 	pendingQuarantines fingerprintSet
@@ -67,6 +68,7 @@
 		fleet:    fleet.New(term, now, conf),
 		lender:   rate.NewLender(term, now),
 		marks:    quarantine.NewTable(quarantine.Options{}),
+		parts:    quarantine.NewPartTable(quarantine.PartOptions{}),
 		ctx:      ctx,
 		cancel:   cancel,
 		planner:  placement.NewPlanner(placement.Options{}),
@@ -85,6 +87,7 @@
 	l.updateConfig(now)
 	l.fleet.Tick(now)
 	l.lender.Tick(now)
+	l.quarantineParts(now)
 	if l.isDue("scrape", scrapeInterval, now) {
 		l.dispatcher.scrapeAll()
 	}
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -48,6 +48,7 @@
 		if len(fp) != sha256.Size {
 			continue // the replicated log accepts no other length
 		}
+		l.parts.RecordCrash(m, now)
 		crashes, reached := l.marks.RecordCrash(m, now)
 		if !reached || handled[string(fp)] {
 			continue
@@ -62,7 +63,17 @@
 			l.pendingQuarantines.remove(fp)
 			continue
 		}
-		l.quarantine(m, crashes, now)
+		l.quarantine(&apiv1.PutQuarantine{Fingerprint: m.GetFingerprint(), Team: m.GetTeam(), Crashes: crashes}, now, func() {})
+	}
+}
+
+// quarantineParts quarantines the parts of prompts that are found to crash engines.
+func (l *leader) quarantineParts(now time.Time) {
+	for _, p := range l.parts.Name(now) {
+		if l.pendingQuarantines.add(p.Fingerprint) {
+			l.quarantine(&apiv1.PutQuarantine{Fingerprint: p.Fingerprint, Crashes: uint32(p.Crashes), PromptPart: true}, now,
+				func() { l.parts.Unname(p.Fingerprint) })
+		}
 	}
 }
 
@@ -72,22 +83,18 @@
 	})
 }
 
-func (l *leader) quarantine(m *apiv1.CrashMark, crashes uint32, now time.Time) {
+// quarantine commits a quarantine in the background; failed is called when it cannot be committed.
+func (l *leader) quarantine(q *apiv1.PutQuarantine, now time.Time, failed func()) {
 	l.s.metrics.quarantines.Add(1)
-	cmd := &apiv1.Command{UnixMs: now.UnixMilli(), Command: &apiv1.Command_PutQuarantine{
-		PutQuarantine: &apiv1.PutQuarantine{
-			Fingerprint: m.GetFingerprint(),
-			UntilUnixMs: now.Add(quarantineDuration).UnixMilli(),
-			Team:        m.GetTeam(),
-			Crashes:     crashes,
-		},
-	}}
-	l.logger.Warn().Str("decision", "quarantine").Hex("fingerprint", m.GetFingerprint()).
-		Uint32("crashes", crashes).Str("team", m.GetTeam()).Msg("request quarantined")
+	q.UntilUnixMs = now.Add(quarantineDuration).UnixMilli()
+	cmd := &apiv1.Command{UnixMs: now.UnixMilli(), Command: &apiv1.Command_PutQuarantine{PutQuarantine: q}}
+	l.logger.Warn().Str("decision", "quarantine").Hex("fingerprint", q.GetFingerprint()).Bool("prompt_part", q.GetPromptPart()).
+		Uint32("crashes", q.GetCrashes()).Str("team", q.GetTeam()).Msg("request quarantined")
 	l.background(func(ctx context.Context) {
-		defer l.pendingQuarantines.remove(m.GetFingerprint())
+		defer l.pendingQuarantines.remove(q.GetFingerprint())
 		if _, err := l.s.replica.Propose(ctx, cmd); err != nil {
-			l.logger.Warn().Err(err).Msg("quarantine not committed; the next crash retries it")
+			l.logger.Warn().Err(err).Msg("quarantine not committed, it is retried")
+			failed()
 		}
 	})
 }
--- a/internal/control/quarantine_test.go
+++ b/internal/control/quarantine_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/attempts"
 )
 
 // marksOf returns the crash marks of one fingerprint from 3 engines.
@@ -86,3 +87,31 @@
 		f.dropLeader()
 	})
 }
+
+// TestHarmfulPartIsQuarantined guards against a part of prompts that crashes engines in requests of which no two are
+// alike.
+func TestHarmfulPartIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, "a")
+		l := f.lead(t, 3)
+		part := func(name string) []byte { return attempts.PartFingerprint("pool", name) }
+		for i := range 3 {
+			engine := fmt.Sprint("e", i)
+			req := &apiv1.ReportRequest{Cluster: "c", Host: "h", AnsweredParts: []*apiv1.AnsweredPart{{Fingerprint: part("sound")}}}
+			req.Crashes = []*apiv1.CrashMark{{
+				Fingerprint: attempts.Fingerprint([]byte(engine)), BackendServer: engine, StartId: "s",
+				PromptParts: [][]byte{part("sound"), part("harmful")},
+			}}
+			resp, err := l.report(req)
+			must.NoError(t, err)
+			must.Eq(t, i > 0, len(resp.GetSuspectParts()) > 0)
+			time.Sleep(time.Second)
+		}
+		l.quarantineParts(time.Now())
+		synctest.Wait()
+		must.Len(t, 1, f.log.proposed)
+		must.Eq(t, part("harmful"), f.log.proposed[0].GetPutQuarantine().GetFingerprint())
+		must.True(t, f.log.proposed[0].GetPutQuarantine().GetPromptPart())
+		f.dropLeader()
+	})
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/engine"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/openai"
+	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 )
 
 // modelCall is the part of a completion request that an attempt sends to an
@@ -118,6 +119,7 @@
 	if response.Stream != nil {
 		return s.relayEvents(ctx, a, response.Stream)
 	}
+	s.recordAnswer(a, quarantine.AnswerProgressed)
 	return final, s.relayComplete(a, response)
 }
 
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -3,21 +3,20 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/engine"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 )
 
 const (
 	// probeTimeout limits a probe: the connect timeout of the pools plus the
 	// time for the response.
 	probeTimeout = 2 * time.Second
-	// maxCrashMarks limits the crash marks that are not yet reported. A crash
-	// adds at most one mark per request in flight on the server.
-	maxCrashMarks = 4096
 	// localSuspectTTL is how long the host treats the requests that it marked as
 	// suspects; after it, only those on the control leader's list.
 	localSuspectTTL = 10 * time.Second
@@ -28,11 +27,15 @@
 // quarantined requests.
 type crashes struct {
 	mu            sync.Mutex
-	marks         []*apiv1.CrashMark
-	reportedMarks int
+	marks         quarantine.MarkLog
+	term          uint64 // of the control leader that last responded
 	localSuspects map[string]time.Time
 	suspects      map[string]struct{}
 	quarantined   map[string]time.Time
+	// suspectParts are the parts of prompts on which responses are to be reported,
+	// answered those on which responses progressed.
+	suspectParts [][]byte
+	answered     *quarantine.AnsweredParts
 	// listsDigest identifies the lists that were last received from the control
 	// leader.
 	listsDigest uint64
@@ -54,18 +57,27 @@
 func (c *crashes) init() {
 	c.localSuspects = map[string]time.Time{}
 	c.probes = map[probeKey]*probe{}
+	c.answered = quarantine.NewAnsweredParts()
 }
 
-// check reports whether a fingerprint is a suspect. It returns an error for a
-// quarantined one.
-func (c *crashes) check(fp []byte, now time.Time) (suspect bool, err error) {
+// check reports whether a request is a suspect. It returns an error for a request that is
+// quarantined, or whose prompt has a part that is.
+func (c *crashes) check(ar *admittedRequest, now time.Time) (suspect bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if until, ok := c.quarantined[string(fp)]; ok && now.Before(until) {
+	blocked := func(fingerprint []byte) bool {
+		until, ok := c.quarantined[string(fingerprint)]
+		return ok && now.Before(until)
+	}
+	if blocked(ar.fingerprint) {
 		return false, fault.New(fault.KindQuarantined, "requests with this content crashed several backend servers",
 			"change the request or ask the operator").WithRun(fault.NotRun)
 	}
-	return c.isSuspect(string(fp), now), nil
+	if slices.ContainsFunc(ar.parts, blocked) {
+		return false, fault.New(fault.KindQuarantined, "requests with one of these messages crashed several backend servers",
+			"change the messages or ask the operator").At("messages").WithRun(fault.NotRun)
+	}
+	return c.isSuspect(string(ar.fingerprint), now), nil
 }
 
 func (c *crashes) isSuspect(fingerprint string, now time.Time) bool {
@@ -81,8 +93,8 @@
 func (c *crashes) apply(resp *apiv1.ReportResponse, received time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.marks = c.marks[c.reportedMarks:]
-	c.reportedMarks = 0
+	c.marks.Confirm()
+	c.term = resp.GetTerm()
 	for fingerprint, until := range c.localSuspects {
 		if !received.Before(until) {
 			delete(c.localSuspects, fingerprint)
@@ -92,7 +104,7 @@
 	if resp.GetSuspectsDigest() != 0 && c.listsDigest == resp.GetSuspectsDigest() {
 		return
 	}
-	c.listsDigest = resp.GetSuspectsDigest()
+	c.listsDigest, c.suspectParts = resp.GetSuspectsDigest(), resp.GetSuspectParts()
 	c.suspects = make(map[string]struct{}, len(resp.GetSuspects()))
 	for _, s := range resp.GetSuspects() {
 		c.suspects[string(s.GetFingerprint())] = struct{}{}
@@ -103,16 +115,26 @@
 	}
 }
 
-// fillReport adds the marks that are not yet acknowledged and the digest of the
-// lists to a report.
-func (c *crashes) fillReport(req *apiv1.ReportRequest) {
+// fillReport adds to a report the marks that the leader lacks, the responses on suspect parts and
+// the digest of the lists.
+func (c *crashes) fillReport(req *apiv1.ReportRequest, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reportedMarks = len(c.marks)
-	req.Crashes = append([]*apiv1.CrashMark(nil), c.marks...)
+	req.Crashes = c.marks.Report(c.term, now)
+	req.AnsweredParts = c.answered.ReportFor(c.suspectParts, req.Crashes, now)
 	req.SuspectsDigest = c.listsDigest
 }
 
+// recordAnswer records how far the response to an attempt has come.
+func (s *Server) recordAnswer(a *attempt, state quarantine.AnswerState) {
+	s.mu.Lock()
+	a.assignment.answer = state
+	s.mu.Unlock()
+	if state == quarantine.AnswerProgressed {
+		s.crashes.answered.Record(a.request.parts, s.now())
+	}
+}
+
 // checkCrash reports whether the backend server of a request whose connection
 // broke has crashed. It probes the server over a new connection, once for all
 // requests that were in flight there. The request keeps its assignment during
@@ -170,22 +192,19 @@
 func (c *crashes) mark(assigned *assignment, load *serverLoad, failedAt, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	byFingerprint := map[string]*admittedRequest{}
+	byFingerprint := map[string]*assignment{}
 	suspects := 0
 	for other := range load.assignments {
 		fingerprint := string(other.request.fingerprint)
 		if other.generation != assigned.generation || other.started.After(failedAt) || byFingerprint[fingerprint] != nil {
 			continue
 		}
-		byFingerprint[fingerprint] = other.request
+		byFingerprint[fingerprint] = other
 		if c.isSuspect(fingerprint, now) {
 			suspects++
 		}
 	}
-	for fingerprint, ar := range byFingerprint {
-		if len(c.marks) >= maxCrashMarks {
-			break
-		}
+	for fingerprint, other := range byFingerprint {
 		// Without an earlier suspect in flight, a request is the sole suspect
 		// only if it was alone; otherwise any of them may be the cause. An
 		// earlier suspect is the sole one if no other was in flight.
@@ -193,10 +212,14 @@
 		if c.isSuspect(fingerprint, now) {
 			sole = suspects == 1
 		}
-		c.marks = append(c.marks, &apiv1.CrashMark{
-			Fingerprint: bytes.Clone(ar.fingerprint), BackendServer: assigned.server, StartId: assigned.startID,
-			SoleSuspect: sole, Team: ar.x.team,
-		})
+		m := &apiv1.CrashMark{
+			Fingerprint: bytes.Clone(other.request.fingerprint), BackendServer: assigned.server, StartId: assigned.startID,
+			SoleSuspect: sole, Team: other.request.x.team, AnswerStarted: other.answer == quarantine.AnswerStarted,
+		}
+		if other.answer != quarantine.AnswerProgressed {
+			m.PromptParts = other.request.parts
+		}
+		c.marks.Record(m, now)
 	}
 	for fingerprint := range byFingerprint {
 		c.localSuspects[fingerprint] = now.Add(localSuspectTTL)
--- a/internal/entry/dispatch_test.go
+++ b/internal/entry/dispatch_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -64,6 +65,47 @@
 	})
 }
 
+// chat returns the body of a chat request with a message for each text.
+func chat(n int, texts ...string) string {
+	var messages []map[string]string
+	for _, text := range texts {
+		messages = append(messages, map[string]string{"role": "user", "content": text})
+	}
+	out, _ := json.Marshal(map[string]any{"model": "a:1", "messages": messages, "max_tokens": n})
+	return string(out)
+}
+
+// TestHarmfulMessage guards against a message that crashes engines in requests of which no two are alike, and against
+// refusing the requests that share other messages with these.
+func TestHarmfulMessage(t *testing.T) {
+	run(t, options{engines: 3}, func(f *fleet) {
+		for _, e := range f.engines {
+			e.SetFaults(standin.Faults{CrashMarker: "poison"})
+		}
+		must.Eq(t, 200, f.post("/v1/chat/completions", keyRed, chat(5, "shared", "question")).status)
+		f.stopReports()
+		r := f.post("/v1/chat/completions", keyRed, chat(5, "shared", "poison", "question 1"))
+		must.Eq(t, "backend_server_failed", r.reason(), must.Sprint(r.body))
+		synctest.Wait()
+		report := f.s.Report()
+		must.Len(t, 1, report.GetCrashes())
+		parts := report.GetCrashes()[0].GetPromptParts()
+		must.Len(t, 2, parts)
+		must.Len(t, 1, report.GetAnsweredParts())
+		must.Eq(t, parts[0], report.GetAnsweredParts()[0].GetFingerprint())
+		f.apply(func(resp *apiv1.ReportResponse) {
+			resp.Quarantined = append(resp.Quarantined, &apiv1.Quarantined{Fingerprint: parts[1], RemainingMs: 5000})
+		})
+		must.SliceEmpty(t, f.s.Report().GetCrashes())
+		r = f.post("/v1/chat/completions", keyRed, chat(5, "shared", "poison", "question 2"))
+		must.Eq(t, "quarantined", r.reason())
+		must.Eq(t, "not_run", r.run())
+		must.Eq(t, 200, f.post("/v1/chat/completions", keyRed, chat(5, "shared", "question 3")).status)
+		f.apply(func(resp *apiv1.ReportResponse) { resp.Term = 99 })
+		must.Len(t, 1, f.s.Report().GetCrashes(), must.Sprint("the next leader does not get the marks"))
+	})
+}
+
 // Two crash suspects must not run on one engine: after a crash it would be
 // unknown which of them caused it.
 func TestSuspectsApart(t *testing.T) {
--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -128,7 +128,7 @@
 		ConfigRevision: cfg.Revision,
 		Leaving:        s.drain.closing(),
 	}
-	s.crashes.fillReport(req)
+	s.crashes.fillReport(req, now)
 	if req.Leaving {
 		req.WaitingFor = waiting
 	}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -53,7 +53,10 @@
 	ar.tokens = req.PromptTokens + req.MaxTokens
 	ar.cost = ar.tokens
 	ar.fingerprint = attempts.Fingerprint([]byte(x.team), []byte(x.routeName()), []byte(ar.model), body)
-	if ar.suspect, err = s.crashes.check(ar.fingerprint, s.now()); err != nil {
+	for _, part := range req.SharedParts {
+		ar.parts = append(ar.parts, attempts.PartFingerprint(ar.pool, string(part)))
+	}
+	if ar.suspect, err = s.crashes.check(ar, s.now()); err != nil {
 		return err
 	}
 	engineBody, err := req.Body(body)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -6,6 +6,7 @@
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/fairqueue"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 	"github.com/jasminesaddle/jasminesaddle/internal/rate"
 )
 
@@ -43,7 +44,9 @@
 	prefix       []uint64
 	fingerprint  []byte
 	suspect      bool
-	excluded     []string
+	// parts are the fingerprints of the messages that other requests may share.
+	parts    [][]byte
+	excluded []string
 
 	// State and held resources.
 	state       requestState
@@ -79,6 +82,8 @@
 	// generation is the generation of the backend server's load at the start.
 	generation uint64
 	started    time.Time
+	// answer is how far the engine's response has come.
+	answer quarantine.AnswerState
 	// failed is set when the request's connection broke.
 	failed   bool
 	released bool
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -8,6 +8,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/engine"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/openai"
+	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 )
 
 // maxResumes limits the attempts to resume a stream after its last event.
@@ -33,14 +34,19 @@
 func (s *Server) relayEvents(ctx context.Context, a *attempt, events *engine.Stream) (attemptOutcome, error) {
 	st := &stream{a: a, events: events, control: http.NewResponseController(a.request.x.w)}
 	defer func() { _ = st.events.Close() }()
-	for {
+	s.recordAnswer(a, quarantine.AnswerStarted)
+	for n := 1; ; n++ {
 		ev, err := st.events.Next()
 		if err != nil {
 			if outcome, err := s.resumeOrEnd(ctx, st, err); err != nil {
 				return outcome, err
 			}
+			n--
 			continue
 		}
+		if n == quarantine.ProgressEvents || ev.Done {
+			s.recordAnswer(a, quarantine.AnswerProgressed)
+		}
 		if err := st.write(s, ev); err != nil {
 			s.cancelInBackground(a)
 			a.request.usedTokens = st.used()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/attempts"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/h1"
+	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 )
 
 const (
@@ -138,7 +139,7 @@
 	counted := ar.g.usage.startAttempt(instance, ar.r.Weights, p.tokens, now)
 	defer counted.end()
 	ar.tries.RecordAttempt()
-	ar.answer = answerAwaited
+	ar.answer = quarantine.AnswerAwaited
 	ar.excluded[instance] = true
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -158,7 +159,7 @@
 	if resp.Status >= 300 || !resp.FromBackend {
 		return ar.handleErrorResponse(p, resp, last)
 	}
-	ar.answer = answerStarted
+	ar.answer = quarantine.AnswerStarted
 	if ar.route.Streaming {
 		outcome, err := ar.relayStream(ctx, p, counted, resp, now)
 		return outcome, last, err
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -9,26 +9,9 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/attempts"
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 )
 
-// answerState is how far the response to the current attempt has come.
-type answerState int
-
-const (
-	// answerAwaited: no header has arrived.
-	answerAwaited answerState = iota
-	// answerStarted: the header has arrived, and fewer than progressEvents events.
-	answerStarted
-	// answerProgressed: the engine survived the start of the response.
-	answerProgressed
-)
-
-// progressEvents is the number of events after which an engine has survived the start of a
-// response: an engine that crashes at its start may still have sent the first event.
-const progressEvents = 2
-
-func (s answerState) String() string { return [...]string{"awaited", "started", "progressed"}[s] }
-
 // crashVerdictWait is how long a retry waits to learn whether the server crashed: a crashed
 // server refuses a connection within a round trip.
 const crashVerdictWait = 100 * time.Millisecond
@@ -55,7 +38,7 @@
 			Hex("fingerprint", mark.GetFingerprint()).Stringer("answer", answer).Strs("prompt_parts", ar.sharedPartIDs()).
 			Msg("backend server crashed with the request in flight")
 	})
-	if answer != answerStarted || ar.g.answered.All(ar.parts) {
+	if answer != quarantine.AnswerStarted || ar.g.answered.All(ar.parts) {
 		return
 	}
 	select {
@@ -66,10 +49,10 @@
 
 // recordProgress records that the engine survived the start of the response.
 func (ar *activeRequest) recordProgress(now time.Time) {
-	if ar.answer == answerProgressed {
+	if ar.answer == quarantine.AnswerProgressed {
 		return
 	}
-	ar.answer = answerProgressed
+	ar.answer = quarantine.AnswerProgressed
 	ar.g.answered.Record(ar.parts, now)
 }
 
@@ -95,12 +78,12 @@
 func (ar *activeRequest) crashMark(p placement) *apiv1.CrashMark {
 	mark := &apiv1.CrashMark{
 		Fingerprint: ar.fingerprint, BackendServer: p.server.Instance, StartId: p.server.Instance,
-		SoleSuspect: ar.soleSuspect(p.server.Instance), AnswerStarted: ar.answer == answerStarted,
+		SoleSuspect: ar.soleSuspect(p.server.Instance), AnswerStarted: ar.answer == quarantine.AnswerStarted,
 	}
 	if ar.team != nil {
 		mark.Team = ar.team.Name
 	}
-	if ar.answer != answerProgressed && !p.server.Draining {
+	if ar.answer != quarantine.AnswerProgressed && !p.server.Draining {
 		mark.PromptParts = ar.parts
 	}
 	return mark
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -94,11 +93,7 @@
 func (g *Gateway) Report(req *apiv1.ExchangeRequest) {
 	now := g.opts.Now()
 	g.usage.Report(req, now)
-	parts := slices.Clone(g.opts.Fleet.View().SuspectParts)
-	for _, m := range req.GetCrashes() {
-		parts = append(parts, m.GetPromptParts()...)
-	}
-	req.AnsweredParts = g.answered.Report(parts, now)
+	req.AnsweredParts = g.answered.ReportFor(g.opts.Fleet.View().SuspectParts, req.GetCrashes(), now)
 }
 
 // Reported records whether the leader received the last report.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -11,6 +11,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 	"github.com/jasminesaddle/jasminesaddle/internal/quota"
 )
 
@@ -64,7 +65,7 @@
 	firstEventAt time.Time
 	status       int
 	// answer is how far the response to the current attempt has come.
-	answer answerState
+	answer quarantine.AnswerState
 	// suspect is true when a server crashed as it began the response, and no response is known
 	// to have progressed on a prompt with the same parts.
 	suspect bool
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 )
 
 // readSize is the size of one read of a stream. An engine produces events of a
@@ -33,7 +35,7 @@
 				counted.recordResponseStart()
 				ar.recordFirstEvent(p, began, now)
 			}
-			if ar.events.count-before >= progressEvents {
+			if ar.events.count-before >= quarantine.ProgressEvents {
 				ar.recordProgress(now)
 			}
 			if err := ar.relayEvents(resp, whole); err != nil {
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -7,6 +7,7 @@
 	"time"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
 )
 
@@ -17,7 +18,7 @@
 	mu       sync.Mutex
 	servers  map[string]*serverUsage
 	arrivals map[residency.Ref]*arrivalCount
-	marks    crashMarks
+	marks    quarantine.MarkLog
 	// unconfirmed is the content of the report in transit.
 	unconfirmed unconfirmed
 }
@@ -145,7 +146,7 @@
 func (u *usage) recordCrash(m *apiv1.CrashMark, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.marks.record(m, now)
+	u.marks.Record(m, now)
 }
 
 // Report adds this host's usage of the fleet to the request.
@@ -165,7 +166,7 @@
 			Model: ref.Model, Adapter: ref.Adapter, Arrivals: uint32(a.requests), Tokens: a.tokens,
 		})
 	}
-	req.Crashes = u.marks.report(req.GetTerm(), now)
+	req.Crashes = u.marks.Report(req.GetTerm(), now)
 }
 
 func (s *serverUsage) report(instance string) *apiv1.HostLoad {
@@ -184,7 +185,7 @@
 	last := u.unconfirmed
 	u.unconfirmed = unconfirmed{}
 	if ok {
-		u.marks.confirm()
+		u.marks.Confirm()
 		return
 	}
 	for ref, a := range last.arrivals {
--- a/internal/openai/request.go
+++ b/internal/openai/request.go
@@ -34,6 +34,9 @@
 	MaxTokens uint64
 	// Prompt is the raw prompt, for the prefix index.
 	Prompt []byte
+	// SharedParts are the messages that other requests may share: all but the last one. Empty
+	// for a prompt of one text.
+	SharedParts []json.RawMessage
 
 	fields map[string]json.RawMessage
 	// defaultLimit is set when the request had no limit and fields has the
@@ -44,6 +47,9 @@
 // maxFields limits the top-level fields of a request; the protocol has about 40.
 const maxFields = 256
 
+// maxSharedParts limits the messages of a request that are tracked as parts of its prompt.
+const maxSharedParts = 16
+
 // Parse reads the body of a completion request; chat selects the chat format.
 func Parse(body []byte, chat bool, limits Limits) (*Request, error) {
 	r := &Request{}
@@ -135,6 +141,13 @@
 	if chat && raw[0] != '[' {
 		return invalid(name, "messages is not a list", "send a list of messages")
 	}
+	if chat {
+		var messages []json.RawMessage
+		if err := json.Unmarshal(raw, &messages); err != nil {
+			return invalid(name, "messages is not a list", "send a list of messages")
+		}
+		r.SharedParts = messages[:min(max(0, len(messages)-1), maxSharedParts)]
+	}
 	r.Prompt = raw
 	r.PromptTokens = EstimateTokens(raw)
 	return nil
--- a/internal/quarantine/answered.go
+++ b/internal/quarantine/answered.go
@@ -8,6 +8,24 @@
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 )
 
+// AnswerState is how far the response to an attempt has come.
+type AnswerState int
+
+const (
+	// AnswerAwaited: no header has arrived.
+	AnswerAwaited AnswerState = iota
+	// AnswerStarted: the header has arrived, and fewer than ProgressEvents events.
+	AnswerStarted
+	// AnswerProgressed: the engine survived the start of the response.
+	AnswerProgressed
+)
+
+// ProgressEvents is the number of events after which an engine has survived the start of a
+// response: an engine that crashes at its start may still have sent the first event.
+const ProgressEvents = 2
+
+func (s AnswerState) String() string { return [...]string{"awaited", "started", "progressed"}[s] }
+
 // maxAnsweredParts limits an AnsweredParts. An entry takes about 200 bytes.
 const maxAnsweredParts = 8192
 
@@ -58,6 +76,15 @@
 	return true
 }
 
+// ReportFor returns the last responses on the suspect parts and on those of the marks.
+func (a *AnsweredParts) ReportFor(suspects [][]byte, marks []*apiv1.CrashMark, now time.Time) []*apiv1.AnsweredPart {
+	out := a.Report(suspects, now)
+	for _, m := range marks {
+		out = append(out, a.Report(m.GetPromptParts(), now)...)
+	}
+	return out
+}
+
 // Report returns the last responses on those of the parts that are known.
 func (a *AnsweredParts) Report(fingerprints [][]byte, now time.Time) []*apiv1.AnsweredPart {
 	a.mu.Lock()
--- a/internal/gateway/crashmarks.go
+++ b/internal/quarantine/marklog.go
@@ -1,4 +1,4 @@
-package gateway
+package quarantine
 
 import (
 	"time"
@@ -13,7 +13,7 @@
 	// them.
 	markRetention = 10 * time.Minute
 	// maxMarks limits the retained crash marks. A crash adds one for each request in flight.
-	maxMarks = 1024
+	maxMarks = 4096
 )
 
 // retainedMark is a crash mark and the time of the crash.
@@ -22,9 +22,9 @@
 	at   time.Time
 }
 
-// crashMarks holds the crash marks of this host. A leader has them in memory only, so that each
+// MarkLog holds the crash marks of an entry host. A leader has them in memory only, so that each
 // new leader gets all of them again. It is not safe for concurrent use.
-type crashMarks struct {
+type MarkLog struct {
 	marks []retainedMark
 	// confirmed is the number of marks that the leader of the term has received, sent the
 	// number that the report in transit covers.
@@ -32,23 +32,24 @@
 	term            uint64
 }
 
-func (c *crashMarks) record(m *apiv1.CrashMark, now time.Time) {
+// Record adds the mark of a crash at the time.
+func (l *MarkLog) Record(m *apiv1.CrashMark, now time.Time) {
 	drop := 0
-	for drop < len(c.marks) && (now.Sub(c.marks[drop].at) > markRetention || len(c.marks)-drop >= maxMarks) {
+	for drop < len(l.marks) && (now.Sub(l.marks[drop].at) > markRetention || len(l.marks)-drop >= maxMarks) {
 		drop++
 	}
-	c.marks = append(c.marks[drop:], retainedMark{m, now})
-	c.confirmed, c.sent = max(0, c.confirmed-drop), max(0, c.sent-drop)
+	l.marks = append(l.marks[drop:], retainedMark{m, now})
+	l.confirmed, l.sent = max(0, l.confirmed-drop), max(0, l.sent-drop)
 }
 
-// report returns the marks that the leader of the term lacks.
-func (c *crashMarks) report(term uint64, now time.Time) []*apiv1.CrashMark {
-	if term != c.term {
-		c.term, c.confirmed = term, 0
+// Report returns the marks that the leader of the term lacks.
+func (l *MarkLog) Report(term uint64, now time.Time) []*apiv1.CrashMark {
+	if term != l.term {
+		l.term, l.confirmed = term, 0
 	}
-	c.sent = len(c.marks)
+	l.sent = len(l.marks)
 	var out []*apiv1.CrashMark
-	for _, r := range c.marks[c.confirmed:] {
+	for _, r := range l.marks[l.confirmed:] {
 		m := proto.Clone(r.mark).(*apiv1.CrashMark)
 		m.AgeMs = uint32(max(0, now.Sub(r.at)).Milliseconds())
 		out = append(out, m)
@@ -56,5 +57,5 @@
 	return out
 }
 
-// confirm records that the leader received the last report.
-func (c *crashMarks) confirm() { c.confirmed = max(c.confirmed, c.sent) }
+// Confirm records that the leader received the last report.
+func (l *MarkLog) Confirm() { l.confirmed = max(l.confirmed, l.sent) }
