A response that ends with its connection before its first event is broken off, not complete

Callers got an empty stream as complete when an engine crashed after the header of a response without length or chunks: the end of its connection looked like the end of the body. The crash left no mark, and counted as a response that progressed. Such a stream is now complete only after an event, and clears no part of a prompt by its end. Also looked at: a response of a plain service and a stream that ends inside an event were refused before; TestStreamWithoutEventsIsNotComplete fails at "no event" on the code before.

--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -73,6 +73,7 @@
 	notRun      bool
 	misdirected bool
 	forged      bool
+	untilClose  bool
 	body        *body
 	err         error
 	after       time.Duration
@@ -126,7 +127,7 @@
 	rep.body.ctx = ctx
 	return &Response{
 		Status: rep.status, Header: http.Header{}, Length: -1, Body: rep.body, NotRun: rep.notRun || rep.misdirected,
-		Misdirected: rep.misdirected, FromBackend: !rep.forged,
+		Misdirected: rep.misdirected, FromBackend: !rep.forged, EndsWithConnection: rep.untilClose,
 	}, nil
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -358,6 +358,36 @@
 	})
 }
 
+// TestStreamWithoutEventsIsNotComplete guards against an engine that crashes after the header of a response without
+// length: the end of its connection looked like the end of an empty stream.
+func TestStreamWithoutEventsIsNotComplete(t *testing.T) {
+	for name, c := range map[string]struct {
+		first    reply
+		sent     int
+		expected string
+	}{
+		"no event":        {reply{status: 200, untilClose: true, body: &body{}}, 2, event("1")},
+		"inside an event": {reply{status: 200, untilClose: true, body: &body{pieces: []string{"id: 1\nda"}}}, 2, event("1")},
+		"whole events":    {reply{status: 200, untilClose: true, body: &body{pieces: []string{event("0")}}}, 1, event("0")},
+		"framed":          {reply{status: 200, body: &body{}}, 1, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start(t, func(h *harness) {
+				h.respond = func(n int, _ Attempt) reply {
+					if n == 0 {
+						return c.first
+					}
+					return reply{status: 200, body: &body{pieces: []string{event("1")}}}
+				}
+				got, err := h.ask("stream", nil)
+				must.NoError(t, err)
+				must.Eq(t, c.expected, got.String())
+				must.Len(t, c.sent, h.sent)
+			})
+		})
+	}
+}
+
 // TestQuarantineWhileWaiting guards against a request that is sent because its part was quarantined only while it
 // waited for an adapter.
 func TestQuarantineWhileWaiting(t *testing.T) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -106,6 +106,9 @@
 	Length int64
 	// Body returns io.EOF only when it is complete.
 	Body io.ReadCloser
+	// EndsWithConnection is true when only the end of the connection marks the end of Body, as a
+	// crash of the server does too.
+	EndsWithConnection bool
 	// NotRun is true when the server declares that it has not run the request
 	// and never will. Misdirected is true when it declined because it is
 	// another instance or lacks the adapter.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -43,7 +43,7 @@
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF) && ar.events.atEventEnd():
+		case errors.Is(err, io.EOF) && ar.events.atEventEnd() && (ar.events.count > before || !resp.EndsWithConnection):
 			return ar.endStream(resp, instance, now)
 		case err != nil || ar.events.tooLong():
 			return ar.handleCutStream(ctx, p, err, now)
@@ -83,7 +83,9 @@
 
 // endStream completes a response whose last event was relayed.
 func (ar *activeRequest) endStream(resp *Response, instance string, now time.Time) (attemptOutcome, error) {
-	ar.recordProgress(now)
+	if !resp.EndsWithConnection {
+		ar.recordProgress(now)
+	}
 	ar.g.usage.recordSuccess(instance, now)
 	ar.start(resp)
 	return delivered, nil
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -215,6 +215,8 @@
 	Header http.Header
 	// Length is the length of the body, or -1 when its framing marks its end.
 	Length int64
+	// EndsWithConnection is true when the end of the connection marks the end of the body.
+	EndsWithConnection bool
 
 	conn *conn
 	pool *Pool
@@ -247,6 +249,7 @@
 
 func (r *Response) setHeader(head *http.Response, dirty bool) {
 	r.Status, r.Header, r.Length, r.body = head.StatusCode, head.Header, head.ContentLength, head.Body
+	r.EndsWithConnection = head.ContentLength < 0 && len(head.TransferEncoding) == 0
 	r.dirty = dirty || head.Close || head.ProtoMinor == 0
 	r.conn.expires = time.Now().Add(idleTimeout(head.Header.Get("Keep-Alive")))
 }
