--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -62,14 +62,16 @@
 		until, ok := v.Quarantined[string(fingerprint)]
 		return ok && now.Before(until)
 	}
-	switch {
-	case len(v.Quarantined) == 0:
-	case blocked(ar.fingerprint):
+	if len(v.Quarantined) == 0 {
+		return nil
+	}
+	if blocked(ar.fingerprint) {
 		return fault.New(fault.KindQuarantined, "this request has crashed several backend servers", "change the request").
 			WithRun(fault.NotRun)
-	case slices.ContainsFunc(ar.parts, blocked):
-		return fault.New(fault.KindQuarantined, "a part of this prompt has crashed several backend servers", "change the prompt").
-			WithRun(fault.NotRun)
+	}
+	if i := slices.IndexFunc(ar.parts, blocked); i >= 0 {
+		return fault.Newf(fault.KindQuarantined, "change the prompt", "part %d of this prompt, fingerprint %x, has crashed several backend servers",
+			i+1, ar.parts[i]).WithRun(fault.NotRun)
 	}
 	return nil
 }
