A named part explains its later crashes, and is named again after its quarantine

Crashes between the naming of a part and the moment when all hosts know of it were held against the sound parts beside it, and a part that crashed engines again after its quarantine was never named again, because the table still held it as named. Found by reading; both cases of TestPartNamed fail on the code before.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -22,7 +22,8 @@
 	// Clearance is the time that hosts have to report responses on a suspect part before it
 	// is named: two exchanges with the leader and their delays.
 	Clearance time.Duration
-	// Retention is how long the evidence against a part is retained after its last crash.
+	// Retention is how long the evidence against a part is retained after its last crash, and how
+	// long a named part explains the crashes at which it is present: as long as it is quarantined.
 	Retention time.Duration
 	// MaxParts limits the parts with evidence. Parts with less than two crashes are evicted first.
 	MaxParts int
@@ -64,6 +65,7 @@
 	listedAt time.Time
 	last     time.Time
 	named    bool
+	namedAt  time.Time
 	element  *list.Element
 }
 
@@ -133,6 +135,14 @@
 
 func (t *PartTable) add(fingerprint string, position int, c *partCrash, started bool, now time.Time) {
 	p := t.parts[fingerprint]
+	if p != nil && p.named && now.Sub(p.namedAt) < t.opts.Retention {
+		c.explained = true // the quarantine has not reached all hosts
+		return
+	}
+	if p != nil && p.named {
+		t.remove(p)
+		p = nil
+	}
 	if p == nil {
 		p = &suspectPart{fingerprint: fingerprint}
 		t.parts[fingerprint] = p
@@ -218,7 +228,7 @@
 		if p == nil {
 			return out
 		}
-		p.named = true
+		p.named, p.namedAt = true, now
 		for _, c := range p.crashes {
 			c.explained = true
 		}
