A limit that is no longer retained ends for placement too

The leader dropped the limit of a server that no response had named for ten minutes, but placement went on to count it as capacity. Without limits the leader's tick no longer sorts its hosts. Found by reading; TestLimitEnds checks what is dropped.

--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -37,9 +37,15 @@
 // assignLimits divides the limits between the hosts that exchange with this leader, and has placement
 // count them as capacity.
 func (l *leader) assignLimits(now time.Time) {
-	l.limits.Assign(slices.Sorted(maps.Keys(l.hosts.reports)), func(instance string) bool {
+	if l.limits.Len() == 0 {
+		return
+	}
+	dropped := l.limits.Assign(slices.Sorted(maps.Keys(l.hosts.reports)), func(instance string) bool {
 		return !l.listed || l.table.Has(instance)
 	}, now)
+	for _, instance := range dropped {
+		l.table.SetLimit(instance, 0)
+	}
 	for _, limit := range l.limits.For("") {
 		l.table.SetLimit(limit.Instance, limit.PerSecond)
 	}
--- a/internal/serverlimit/serverlimit_test.go
+++ b/internal/serverlimit/serverlimit_test.go
@@ -96,8 +96,8 @@
 	for range 10 {
 		must.True(t, heard.Take(now, 3))
 	}
-	table.Assign(names, func(string) bool { return false }, now)
-	must.SliceEmpty(t, table.For("h0"))
+	must.Eq(t, []string{"s"}, table.Assign(names, func(string) bool { return false }, now))
+	must.Zero(t, table.Len())
 }
 
 // TestLowerLimitAtOnce guards against a share of a limit that has been cut since.
--- a/internal/serverlimit/table.go
+++ b/internal/serverlimit/table.go
@@ -74,15 +74,21 @@
 	return changed
 }
 
-// Assign divides the limits between the hosts, and drops those of servers that are gone.
-func (t *Table) Assign(hosts []string, present func(instance string) bool, now time.Time) {
+// Len returns the number of servers that have named a limit.
+func (t *Table) Len() int { return len(t.limits) }
+
+// Assign divides the limits between the hosts. It drops those of servers that are gone or have not been
+// heard of for long, and returns their instances.
+func (t *Table) Assign(hosts []string, present func(instance string) bool, now time.Time) (dropped []string) {
 	for instance, e := range t.limits {
 		if !present(instance) || now.Sub(e.limit.NamedAt) > retention {
 			delete(t.limits, instance)
+			dropped = append(dropped, instance)
 			continue
 		}
 		e.assign(hosts)
 	}
+	return dropped
 }
 
 // assign gives the host shares by rendezvous hashing, so that few hosts change when one joins or
