--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -35,16 +35,16 @@
 	st := &stream{a: a, events: events, control: http.NewResponseController(a.request.x.w)}
 	defer func() { _ = st.events.Close() }()
 	s.recordAnswer(a, quarantine.AnswerStarted)
-	for n := 1; ; n++ {
+	received := 0
+	for {
 		ev, err := st.events.Next()
 		if err != nil {
 			if outcome, err := s.resumeOrEnd(ctx, st, err); err != nil {
 				return outcome, err
 			}
-			n--
 			continue
 		}
-		if n == quarantine.ProgressEvents || ev.Done {
+		if received++; received == quarantine.ProgressEvents || ev.Done {
 			s.recordAnswer(a, quarantine.AnswerProgressed)
 		}
 		if err := st.write(s, ev); err != nil {
