--- a/internal/serverlimit/serverlimit_test.go
+++ b/internal/serverlimit/serverlimit_test.go
@@ -30,14 +30,14 @@
 	// window is the time over which requests are counted, from ruleFrom on.
 	window   = 4 * time.Second
 	ruleFrom = 3 * time.Second
-	// askedPerSecond is the number of requests a second that all hosts together would send.
-	askedPerSecond = 400
 )
 
 // limitedFleet is one server with a limit, and hosts that exchange with a leader.
 type limitedFleet struct {
-	rng      *rand.Rand
-	limit    float64
+	rng   *rand.Rand
+	limit float64
+	// asked is the number of requests a second that all hosts together would send.
+	asked    float64
 	names    []string
 	gates    []Gate
 	table    *Table
@@ -58,7 +58,7 @@
 		gate.Assign(assigned, now)
 	}
 	hosts := len(f.gates)
-	if f.rng.Float64() < askedPerSecond*step.Seconds()/float64(hosts) && gate.Take(now, hosts) {
+	if f.rng.Float64() < f.asked*step.Seconds()/float64(hosts) && gate.Take(now, hosts) {
 		f.arrivals = append(f.arrivals, at)
 		gate.Name("s", f.limit, now)
 	}
@@ -80,33 +80,39 @@
 // TestLimitKeptByAllHosts guards against hosts that together send more than a server takes, and against a
 // server that is left idle, with a change of the leader in between.
 func TestLimitKeptByAllHosts(t *testing.T) {
+	for _, asked := range []float64{120, 400} {
+		for _, hosts := range []int{1, 6, 75, 300} {
+			for _, limit := range []float64{0.3, 2.6, 3.9, 40} {
+				t.Run(fmt.Sprint(hosts, " hosts, ", limit, " a second, ", asked, " asked"), func(t *testing.T) {
+					testLimitKept(t, hosts, limit, asked)
+				})
+			}
+		}
+	}
+}
+
+func testLimitKept(t *testing.T, hosts int, limit, asked float64) {
 	const length = 40 * time.Second
-	for _, hosts := range []int{1, 6, 75, 300} {
-		for _, limit := range []float64{0.3, 2.6, 3.9, 40} {
-			t.Run(fmt.Sprint(hosts, " hosts, ", limit, " a second"), func(t *testing.T) {
-				f := &limitedFleet{
-					rng: rand.New(rand.NewPCG(uint64(hosts), math.Float64bits(limit))), limit: limit,
-					names: hostNames(hosts), gates: make([]Gate, hosts), table: NewTable(),
-				}
-				for at := time.Duration(0); at < length; at += step {
-					if at == length/2 {
-						f.table = NewTable()
-					}
-					if at%assignInterval == 0 {
-						f.table.Assign(f.names, present, epoch.Add(at))
-					}
-					for host := range hosts {
-						f.play(host, at)
-					}
-				}
-				most, all := f.mostInWindow()
-				possible := limit * (length - ruleFrom).Seconds()
-				t.Logf("at most %d requests in 4 s, %.2f of the limit used", most, float64(all)/possible)
-				must.LessEq(t, int(1.5*limit*window.Seconds())+5, most)
-				must.GreaterEq(t, int(possible/2), all, must.Sprint("the server is left idle"))
-			})
+	f := &limitedFleet{
+		rng: rand.New(rand.NewPCG(uint64(hosts), math.Float64bits(limit))), limit: limit, asked: asked,
+		names: hostNames(hosts), gates: make([]Gate, hosts), table: NewTable(),
+	}
+	for at := time.Duration(0); at < length; at += step {
+		if at == length/2 {
+			f.table = NewTable()
+		}
+		if at%assignInterval == 0 {
+			f.table.Assign(f.names, present, epoch.Add(at))
+		}
+		for host := range hosts {
+			f.play(host, at)
 		}
 	}
+	most, all := f.mostInWindow()
+	possible := limit * (length - ruleFrom).Seconds()
+	t.Logf("at most %d requests in 4 s, %.2f of the limit used", most, float64(all)/possible)
+	must.LessEq(t, int(1.5*limit*window.Seconds())+5, most)
+	must.GreaterEq(t, int(possible/2), all, must.Sprint("the server is left idle"))
 }
 
 // TestLimitEnds guards against a limit that outlasts its last naming at a host that has heard of it only before.
