Hosts know the build of each backend server, and the log tells builds and take-ups

The platform's list names the version of each server's software, which was not decoded. The incident of joined streams cannot be told from the logs: no line says which build an attempt went to, or whether a request takes up an earlier stream.

- ListedEngine, residency.Engine, FleetServer and exchange.Server carry the build.
- The log line of a request has the build of each attempt and, for a take-up, the attempt that it names and the event that it goes on after.

No decision reads the build yet.

--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -116,7 +116,7 @@
 func encodeServer(e *residency.Engine, now time.Time) *apiv1.FleetServer {
 	out := &apiv1.FleetServer{
 		Instance: e.Instance, Service: e.Service, Address: e.Address, FailureDomain: e.Domain,
-		Slots: uint32(e.Slots), Draining: e.Draining,
+		Slots: uint32(e.Slots), Draining: e.Draining, Build: e.Build,
 	}
 	for _, h := range e.Residents(now) {
 		out.Held = append(out.Held, &apiv1.HeldAdapter{
--- a/internal/exchange/view.go
+++ b/internal/exchange/view.go
@@ -57,8 +57,10 @@
 // Server is one run of a backend server.
 type Server struct {
 	Instance, Service, Address, Domain string
-	Slots                              int
-	Draining                           bool
+	// Build is the version of the server's software. Builds have no order.
+	Build    string
+	Slots    int
+	Draining bool
 	// Residents holds the models and adapters of an engine.
 	Residents map[residency.Ref]Resident
 	// OthersInFlight and OthersPendingTokens are the requests in flight and the pending tokens
@@ -130,7 +132,7 @@
 func decodeServer(server *apiv1.FleetServer, now time.Time) *Server {
 	s := &Server{
 		Instance: server.GetInstance(), Service: server.GetService(), Address: server.GetAddress(),
-		Domain: server.GetFailureDomain(), Slots: int(server.GetSlots()), Draining: server.GetDraining(),
+		Domain: server.GetFailureDomain(), Slots: int(server.GetSlots()), Draining: server.GetDraining(), Build: server.GetBuild(),
 		Residents: map[residency.Ref]Resident{},
 	}
 	for _, h := range server.GetHeld() {
@@ -148,13 +150,13 @@
 		old := v.Servers[l.Instance]
 		if old != nil && old.Address == l.Address && old.Service == l.Service {
 			next := *old
-			next.Draining = l.Draining
+			next.Draining, next.Build = l.Draining, l.Build
 			servers[l.Instance] = &next
 			continue
 		}
 		s := &Server{
 			Instance: l.Instance, Service: l.Service, Address: l.Address, Domain: l.Domain,
-			Slots: l.Slots, Draining: l.Draining, Residents: map[residency.Ref]Resident{},
+			Build: l.Build, Slots: l.Slots, Draining: l.Draining, Residents: map[residency.Ref]Resident{},
 		}
 		for _, c := range l.Residents {
 			s.Residents[c.Ref] = Resident{c.Version, now}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -81,7 +81,7 @@
 		var outcome attemptOutcome
 		outcome, errResp, failure = ar.attempt(ctx, p, errResp)
 		ar.tries.RecordFailure(failure)
-		ar.attemptLog = append(ar.attemptLog, attemptRecord{p.server.Instance, outcome.String(), ar.g.opts.Now().Sub(began)})
+		ar.attemptLog = append(ar.attemptLog, attemptRecord{p.server.Instance, p.server.Build, outcome.String(), ar.g.opts.Now().Sub(began)})
 		ar.g.metrics.attempts.Add(outcome.String(), 1)
 		if outcome == delivered {
 			return nil
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -50,8 +50,11 @@
 	Timeout time.Duration
 	// AfterEvent is the last event that the caller has of an earlier response.
 	AfterEvent string
-	Fields     []h1.Field
-	Body       []byte
+	// Resumes is the ID of the attempt that brought the first event of the stream that the
+	// caller takes up; empty when it names none.
+	Resumes string
+	Fields  []h1.Field
+	Body    []byte
 	// Received is when the header of the request had been read.
 	Received time.Time
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -83,9 +83,9 @@
 
 // attemptRecord is what is logged of one attempt.
 type attemptRecord struct {
-	instance string
-	outcome  string
-	took     time.Duration
+	instance, build string
+	outcome         string
+	took            time.Duration
 }
 
 // Serve serves a request. A returned error means that nothing was sent to the
@@ -308,11 +308,14 @@
 	if ar.r.Generation {
 		e = e.Str("copy", ar.r.Weights.String()).Int("prompt_tokens", ar.r.PromptTokens).Int("loads", ar.loads)
 	}
+	if ar.r.AfterEvent != "" {
+		e = e.Str("resumes", truncate(ar.r.Resumes)).Str("after_event", truncate(ar.r.AfterEvent))
+	}
 	if !ar.firstEventAt.IsZero() {
 		e = e.Dur("first", ar.firstEventAt.Sub(ar.r.Received)).Int("events", ar.events.count)
 	}
 	for _, a := range ar.attemptLog {
-		e = e.Str("server", a.instance).Str("attempt", a.outcome).Dur("attempt_took", a.took)
+		e = e.Str("server", a.instance).Str("build", a.build).Str("attempt", a.outcome).Dur("attempt_took", a.took)
 	}
 	if err == nil {
 		err = ar.abortErr
@@ -323,6 +326,11 @@
 	e.Int("status", ar.status).Msg("request ended")
 }
 
+// maxLoggedBytes limits a caller's text in a log line.
+const maxLoggedBytes = 64
+
+func truncate(text string) string { return text[:min(len(text), maxLoggedBytes)] }
+
 func (ar *activeRequest) outcome(ctx context.Context, err error) string {
 	switch {
 	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled):
--- a/internal/residency/table.go
+++ b/internal/residency/table.go
@@ -77,6 +77,8 @@
 // engine itself.
 type ListedEngine struct {
 	Instance, Service, Address, Domain string
+	// Build is the version of the engine's software. Builds have no order.
+	Build string
 	// StartUnixMs identifies the run of an instance that restarts under the same name;
 	// 0 when it is unknown.
 	StartUnixMs int64
@@ -112,9 +114,11 @@
 // Engine is one run of an engine.
 type Engine struct {
 	Instance, Service, Address, Domain string
-	Slots                              int
-	Draining                           bool
-	startUnixMs                        int64
+	// Build is the version of the engine's software.
+	Build       string
+	Slots       int
+	Draining    bool
+	startUnixMs int64
 
 	sequence       uint64
 	sequenceKnown  bool
@@ -236,8 +240,8 @@
 		delete(t.removed, l.Instance)
 		t.markChanged(e)
 	}
-	if e.Draining != l.Draining || e.Slots != l.Slots {
-		e.Draining, e.Slots = l.Draining, l.Slots
+	if e.Draining != l.Draining || e.Slots != l.Slots || e.Build != l.Build {
+		e.Draining, e.Slots, e.Build = l.Draining, l.Slots, l.Build
 		t.markChanged(e)
 	}
 	t.reconcile(e, l.Residents, now)
