A broken stream goes on only at the build that began it

What two builds write does not fit together, and servers do not check it.

Cause: after a stream broke off, the host placed the rest like any attempt, at whichever engine had the adapter; no code knew builds.

The first relayed event binds the response to the build of its server. Placement, adapter loads, the choice whether to load elsewhere and the silence watch then consider only servers of that build; a response that no server of its build can continue is broken off, as before where there was no server at all. Before the first event a retry may go to any build.

TestBrokenStreamStaysAtBuild and TestSilenceEndsNoStreamOfSoleBuild failed on the code before. Take-ups by callers are another fault and are still placed like new streams.

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -136,7 +136,7 @@
 func (ar *activeRequest) eligibleServers(v *exchange.View, now time.Time) []*exchange.Server {
 	var out []*exchange.Server
 	for _, s := range v.ByService[ar.service.Name] {
-		if !s.Draining && !ar.excluded[s.Instance] && ar.isEligible(v, s, now) {
+		if ar.isUsable(s) && ar.isEligible(v, s, now) {
 			out = append(out, s)
 		}
 	}
@@ -150,6 +150,23 @@
 	return out
 }
 
+// isUsable reports whether the request may be sent to the server.
+func (ar *activeRequest) isUsable(s *exchange.Server) bool {
+	return !s.Draining && !ar.excluded[s.Instance] && ar.mayGoOnAt(s)
+}
+
+// mayGoOnAt reports whether the stream may go on at the server. What two builds write does not fit
+// together, and servers do not check it.
+func (ar *activeRequest) mayGoOnAt(s *exchange.Server) bool {
+	build := ar.build.Load()
+	return build == nil || s.Build == *build
+}
+
+// hasUsableServer reports whether any server may get the request, with or without the adapter.
+func (ar *activeRequest) hasUsableServer(v *exchange.View) bool {
+	return slices.ContainsFunc(v.ByService[ar.service.Name], ar.isUsable)
+}
+
 // rendezvousKey returns the rank of an engine for a shared part of a prompt,
 // by rendezvous hashing.
 func rendezvousKey(instance, part string) string {
@@ -221,7 +238,7 @@
 // shouldLoad reports whether another engine should load the adapter: no engine
 // has it, or all that do are so busy that a load elsewhere is quicker.
 func (ar *activeRequest) shouldLoad(v *exchange.View, d balance.Decision, eligible []string, now time.Time) bool {
-	if ar.loads >= maxLoads {
+	if ar.loads >= maxLoads || ar.build.Load() != nil && !ar.hasUsableServer(v) {
 		return false
 	}
 	if d.Best == "" {
@@ -229,7 +246,7 @@
 	}
 	minWait := time.Duration(math.MaxInt64)
 	for _, s := range v.ByService[ar.service.Name] {
-		if s.Draining || slices.Contains(eligible, s.Instance) {
+		if s.Draining || slices.Contains(eligible, s.Instance) || !ar.mayGoOnAt(s) {
 			continue
 		}
 		c := balance.Candidate{PendingTokens: s.OthersPendingTokens, InFlight: s.OthersInFlight, Slots: s.Slots}
@@ -252,7 +269,7 @@
 	ar.loads++
 	var avoid, missing []string
 	for _, s := range v.ByService[ar.service.Name] {
-		if ar.excluded[s.Instance] || slices.Contains(eligible, s.Instance) {
+		if ar.excluded[s.Instance] || slices.Contains(eligible, s.Instance) || !ar.mayGoOnAt(s) {
 			avoid = append(avoid, s.Instance)
 		}
 		if ar.missing[s.Instance] {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -71,6 +71,8 @@
 	suspect bool
 	// abortErr is why a partial response was aborted.
 	abortErr error
+	// build is the build of the server that sent the first relayed event; nil before it.
+	build atomic.Pointer[string]
 	// pinned is true once the response has begun and cannot be resumed at
 	// another server.
 	pinned atomic.Bool
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -79,11 +79,12 @@
 // canMove reports whether another server can serve the request now, or the
 // server has been silent long enough to ask for an adapter load.
 func (w *silenceWatch) canMove(silent time.Duration, now time.Time) bool {
-	_, d, _ := w.ar.chooseServer(w.ar.g.opts.Fleet.View(), now)
+	v := w.ar.g.opts.Fleet.View()
+	_, d, _ := w.ar.chooseServer(v, now)
 	if d.Instance != "" {
 		return true
 	}
-	return w.ar.r.Generation && w.ar.r.Weights.Adapter != "" && silent >= soleServerSilenceTimeout
+	return w.ar.hasUsableServer(v) && w.ar.r.Generation && w.ar.r.Weights.Adapter != "" && silent >= soleServerSilenceTimeout
 }
 
 // end stops the watch. It does not access the request after end has returned.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -38,6 +38,7 @@
 			if ar.events.count-before >= quarantine.ProgressEvents {
 				ar.recordProgress(now)
 			}
+			ar.build.Store(&p.server.Build)
 			if err := ar.relayEvents(resp, whole); err != nil {
 				return final, nil
 			}
