--- a/internal/api/v1/apiv1connect/coordination.connect.go
+++ b/internal/api/v1/apiv1connect/coordination.connect.go
@@ -45,6 +45,12 @@
 	// CoordinationServiceLendProcedure is the fully-qualified name of the CoordinationService's Lend
 	// RPC.
 	CoordinationServiceLendProcedure = "/jasmine.v1.CoordinationService/Lend"
+	// CoordinationServiceRecordStreamsProcedure is the fully-qualified name of the
+	// CoordinationService's RecordStreams RPC.
+	CoordinationServiceRecordStreamsProcedure = "/jasmine.v1.CoordinationService/RecordStreams"
+	// CoordinationServiceFindStreamProcedure is the fully-qualified name of the CoordinationService's
+	// FindStream RPC.
+	CoordinationServiceFindStreamProcedure = "/jasmine.v1.CoordinationService/FindStream"
 	// CoordinationServiceJoinProcedure is the fully-qualified name of the CoordinationService's Join
 	// RPC.
 	CoordinationServiceJoinProcedure = "/jasmine.v1.CoordinationService/Join"
@@ -64,6 +70,11 @@
 	// Lend grants tokens of the teams' shared buckets to requests that wait on an entry
 	// host. Granted tokens are not returned.
 	Lend(context.Context, *v1.LendRequest) (*v1.LendResponse, error)
+	// RecordStreams records which builds of backend servers began streams, so that callers can
+	// take the streams up at any host.
+	RecordStreams(context.Context, *v1.RecordStreamsRequest) (*v1.RecordStreamsResponse, error)
+	// FindStream returns the build that began a stream.
+	FindStream(context.Context, *v1.FindStreamRequest) (*v1.FindStreamResponse, error)
 	// Join requests that a control host becomes a member of the replicated log.
 	Join(context.Context, *v1.JoinRequest) (*v1.JoinResponse, error)
 	// Execute has a control host send an order to an engine of which it is the holder.
@@ -99,6 +110,18 @@
 			connect.WithSchema(coordinationServiceMethods.ByName("Lend")),
 			connect.WithClientOptions(opts...),
 		),
+		recordStreams: connect.NewClient[v1.RecordStreamsRequest, v1.RecordStreamsResponse](
+			httpClient,
+			baseURL+CoordinationServiceRecordStreamsProcedure,
+			connect.WithSchema(coordinationServiceMethods.ByName("RecordStreams")),
+			connect.WithClientOptions(opts...),
+		),
+		findStream: connect.NewClient[v1.FindStreamRequest, v1.FindStreamResponse](
+			httpClient,
+			baseURL+CoordinationServiceFindStreamProcedure,
+			connect.WithSchema(coordinationServiceMethods.ByName("FindStream")),
+			connect.WithClientOptions(opts...),
+		),
 		join: connect.NewClient[v1.JoinRequest, v1.JoinResponse](
 			httpClient,
 			baseURL+CoordinationServiceJoinProcedure,
@@ -116,11 +139,13 @@
 
 // coordinationServiceClient implements CoordinationServiceClient.
 type coordinationServiceClient struct {
-	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
-	acquire  *connect.Client[v1.AcquireRequest, v1.AcquireResponse]
-	lend     *connect.Client[v1.LendRequest, v1.LendResponse]
-	join     *connect.Client[v1.JoinRequest, v1.JoinResponse]
-	execute  *connect.Client[v1.ExecuteRequest, v1.ExecuteResponse]
+	exchange      *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
+	acquire       *connect.Client[v1.AcquireRequest, v1.AcquireResponse]
+	lend          *connect.Client[v1.LendRequest, v1.LendResponse]
+	recordStreams *connect.Client[v1.RecordStreamsRequest, v1.RecordStreamsResponse]
+	findStream    *connect.Client[v1.FindStreamRequest, v1.FindStreamResponse]
+	join          *connect.Client[v1.JoinRequest, v1.JoinResponse]
+	execute       *connect.Client[v1.ExecuteRequest, v1.ExecuteResponse]
 }
 
 // Exchange calls jasmine.v1.CoordinationService.Exchange.
@@ -150,6 +175,24 @@
 	return nil, err
 }
 
+// RecordStreams calls jasmine.v1.CoordinationService.RecordStreams.
+func (c *coordinationServiceClient) RecordStreams(ctx context.Context, req *v1.RecordStreamsRequest) (*v1.RecordStreamsResponse, error) {
+	response, err := c.recordStreams.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// FindStream calls jasmine.v1.CoordinationService.FindStream.
+func (c *coordinationServiceClient) FindStream(ctx context.Context, req *v1.FindStreamRequest) (*v1.FindStreamResponse, error) {
+	response, err := c.findStream.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // Join calls jasmine.v1.CoordinationService.Join.
 func (c *coordinationServiceClient) Join(ctx context.Context, req *v1.JoinRequest) (*v1.JoinResponse, error) {
 	response, err := c.join.CallUnary(ctx, connect.NewRequest(req))
@@ -179,6 +222,11 @@
 	// Lend grants tokens of the teams' shared buckets to requests that wait on an entry
 	// host. Granted tokens are not returned.
 	Lend(context.Context, *v1.LendRequest) (*v1.LendResponse, error)
+	// RecordStreams records which builds of backend servers began streams, so that callers can
+	// take the streams up at any host.
+	RecordStreams(context.Context, *v1.RecordStreamsRequest) (*v1.RecordStreamsResponse, error)
+	// FindStream returns the build that began a stream.
+	FindStream(context.Context, *v1.FindStreamRequest) (*v1.FindStreamResponse, error)
 	// Join requests that a control host becomes a member of the replicated log.
 	Join(context.Context, *v1.JoinRequest) (*v1.JoinResponse, error)
 	// Execute has a control host send an order to an engine of which it is the holder.
@@ -210,6 +258,18 @@
 		connect.WithSchema(coordinationServiceMethods.ByName("Lend")),
 		connect.WithHandlerOptions(opts...),
 	)
+	coordinationServiceRecordStreamsHandler := connect.NewUnaryHandlerSimple(
+		CoordinationServiceRecordStreamsProcedure,
+		svc.RecordStreams,
+		connect.WithSchema(coordinationServiceMethods.ByName("RecordStreams")),
+		connect.WithHandlerOptions(opts...),
+	)
+	coordinationServiceFindStreamHandler := connect.NewUnaryHandlerSimple(
+		CoordinationServiceFindStreamProcedure,
+		svc.FindStream,
+		connect.WithSchema(coordinationServiceMethods.ByName("FindStream")),
+		connect.WithHandlerOptions(opts...),
+	)
 	coordinationServiceJoinHandler := connect.NewUnaryHandlerSimple(
 		CoordinationServiceJoinProcedure,
 		svc.Join,
@@ -230,6 +290,10 @@
 			coordinationServiceAcquireHandler.ServeHTTP(w, r)
 		case CoordinationServiceLendProcedure:
 			coordinationServiceLendHandler.ServeHTTP(w, r)
+		case CoordinationServiceRecordStreamsProcedure:
+			coordinationServiceRecordStreamsHandler.ServeHTTP(w, r)
+		case CoordinationServiceFindStreamProcedure:
+			coordinationServiceFindStreamHandler.ServeHTTP(w, r)
 		case CoordinationServiceJoinProcedure:
 			coordinationServiceJoinHandler.ServeHTTP(w, r)
 		case CoordinationServiceExecuteProcedure:
@@ -255,6 +319,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jasmine.v1.CoordinationService.Lend is not implemented"))
 }
 
+func (UnimplementedCoordinationServiceHandler) RecordStreams(context.Context, *v1.RecordStreamsRequest) (*v1.RecordStreamsResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jasmine.v1.CoordinationService.RecordStreams is not implemented"))
+}
+
+func (UnimplementedCoordinationServiceHandler) FindStream(context.Context, *v1.FindStreamRequest) (*v1.FindStreamResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jasmine.v1.CoordinationService.FindStream is not implemented"))
+}
+
 func (UnimplementedCoordinationServiceHandler) Join(context.Context, *v1.JoinRequest) (*v1.JoinResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jasmine.v1.CoordinationService.Join is not implemented"))
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -4,6 +4,7 @@
 package catalog
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -61,6 +62,11 @@
 	Public bool
 }
 
+// Uses reports whether the route may send requests to the service.
+func (r *Route) Uses(service string) bool {
+	return slices.ContainsFunc(r.Split, func(s WeightedService) bool { return s.Service == service })
+}
+
 // WeightedService is a service of a route with its weight.
 type WeightedService struct {
 	Service string
--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -34,6 +34,7 @@
 	l.addAllocations(req, resp, now)
 	l.addState(req, resp)
 	l.addFleet(req, resp, now)
+	l.addBuilds(resp)
 	resp.Suspects, resp.SuspectParts = l.marks.Suspects(now), l.parts.Suspects(now)
 	for _, q := range c.machine().Quarantined(time.Now().UnixMilli()) {
 		resp.Quarantined = append(resp.Quarantined, &apiv1.Quarantined{
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -9,6 +9,7 @@
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
+	"github.com/jasminesaddle/jasminesaddle/internal/origin"
 	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 	"github.com/jasminesaddle/jasminesaddle/internal/quota"
 	"github.com/jasminesaddle/jasminesaddle/internal/replica"
@@ -48,7 +49,12 @@
 	versions  uint64
 	hosts     *hostUsage
 	limits    *serverlimit.Table
-	jobs      map[jobKey]*job
+	streams   *origin.Table
+	// buildHistory follows the builds in the list; recordingBuilds is true while a change of them is
+	// being proposed.
+	buildHistory    *origin.History
+	recordingBuilds bool
+	jobs            map[jobKey]*job
 	// progress is closed and replaced after each order and report, to wake the jobs
 	// that wait for an engine.
 	progress    chan struct{}
@@ -70,6 +76,7 @@
 		table: residency.New(residency.Options{}), allocator: quota.NewAllocator(now),
 		hosts: newHostUsage(), limits: serverlimit.NewTable(), jobs: map[jobKey]*job{}, progress: make(chan struct{}),
 		reporting: map[string]bool{}, holders: newHolderTable(),
+		streams: origin.NewTable(c.builds(), now), buildHistory: origin.NewHistory(),
 	}
 	l.syncState(now)
 	return l
@@ -173,6 +180,7 @@
 			l.log.Warn().Err(err).Str("event", "dependency_lost").Str("dependency", "platform_list").Msg("list not read; the last one stays in use")
 		}
 		l.listFailing = true
+		l.buildHistory.ObserveFailure()
 		return
 	}
 	if l.listFailing {
@@ -180,6 +188,7 @@
 	}
 	l.listFailing, l.listed = false, true
 	l.table.ObserveList(list, now)
+	l.observeBuilds(list)
 }
 
 // readReports starts reading the reports of engines whose order sequence is unknown.
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -9,7 +9,8 @@
 
 type metrics struct {
 	terms, lists, listErrors, reports, exchanges, acquires, grants *expvar.Int
-	orders                                                         *expvar.Map
+	streamRecords                                                  *expvar.Int
+	orders, streamsFound                                           *expvar.Map
 }
 
 func newMetrics(m *meter.Set) metrics {
@@ -17,7 +18,8 @@
 		terms: m.Counter("leader_terms"), lists: m.Counter("list_reads"), listErrors: m.Counter("list_read_errors"),
 		reports: m.Counter("engine_reports"), exchanges: m.Counter("exchanges"), acquires: m.Counter("acquires"),
 		grants: m.Counter("loans"),
-		orders: m.Counters("orders", "outcome"),
+		orders: m.Counters("orders", "outcome"), streamRecords: m.Counter("stream_records"),
+		streamsFound: m.Counters("streams_found", "reason"),
 	}
 }
 
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -287,3 +287,19 @@
 		f.logMu.Unlock()
 	})
 }
+
+// Guards against a stream that goes on at another run of its engine, which may have another build.
+func TestStreamIsNotJoinedAcrossRestart(t *testing.T) {
+	run(t, options{}, func(f *fleet) {
+		resp, r := f.openStream(f.t.Context(), "/v1/completions", keyRed, "a:1", 1000)
+		synctest.Wait()
+		for _, e := range f.engines {
+			e.Restart()
+		}
+		body := readRest(t, resp, r)
+		_, whole := textOf(t, body)
+		must.False(t, whole)
+		must.StrContains(t, body, `"error"`)
+		must.StrNotContains(t, body, "[DONE]")
+	})
+}
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -16,6 +16,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/meter"
+	"github.com/jasminesaddle/jasminesaddle/internal/origin"
 	"github.com/jasminesaddle/jasminesaddle/internal/quota"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
 	"github.com/jasminesaddle/jasminesaddle/internal/serverlimit"
@@ -39,6 +40,8 @@
 	Exchange(context.Context, *apiv1.ExchangeRequest) (*apiv1.ExchangeResponse, error)
 	Acquire(context.Context, *apiv1.AcquireRequest) (*apiv1.AcquireResponse, error)
 	Lend(context.Context, *apiv1.LendRequest) (*apiv1.LendResponse, error)
+	RecordStreams(context.Context, *apiv1.RecordStreamsRequest) (*apiv1.RecordStreamsResponse, error)
+	FindStream(context.Context, *apiv1.FindStreamRequest) (*apiv1.FindStreamResponse, error)
 }
 
 // UsageReporter reports the requests that this host has in flight and its demand.
@@ -82,6 +85,11 @@
 	duration        *meter.Histogram
 	grantDuration   *meter.Histogram
 	grants          *expvar.Map
+	recordCalls     *expvar.Map
+	// streams holds the records of the streams of this host, and recordsQueued a value when
+	// requests wait for theirs to be sent.
+	streams       *origin.Log
+	recordsQueued chan struct{}
 
 	// tasks tracks the Acquire calls in progress.
 	tasks sync.WaitGroup
@@ -97,6 +105,10 @@
 	// leaderLost is true when no control host led in the last round.
 	leaderLost   bool
 	acquisitions map[acquireKey]*acquisition
+	// nextBatch holds the records of the next call, and resentTerm is the term of the leader that
+	// has the records of all earlier streams.
+	nextBatch  *streamBatch
+	resentTerm uint64
 }
 
 type epochs struct{ term, versions, fleet uint64 }
@@ -107,7 +119,8 @@
 		opts: opts, log: opts.Logger, seeds: opts.Seeds, tokensRequested: make(chan struct{}, 1),
 		peers: map[string]Coordination{}, acquisitions: map[acquireKey]*acquisition{},
 		duration: opts.Meter.Histogram("exchange_ms"), grantDuration: opts.Meter.Histogram("grant_ms"),
-		grants: opts.Meter.Counters("grant_calls", "outcome"),
+		grants: opts.Meter.Counters("grant_calls", "outcome"), recordCalls: opts.Meter.Counters("stream_record_calls", "outcome"),
+		streams: origin.NewLog(), recordsQueued: make(chan struct{}, 1), nextBatch: newStreamBatch(),
 	}
 	c.view.Store(&View{})
 	return c
@@ -129,6 +142,7 @@
 	eg.Go(func() error { return c.exchangeLoop(ctx) })
 	eg.Go(func() error { return c.listLoop(ctx) })
 	eg.Go(func() error { return c.grantLoop(ctx) })
+	eg.Go(func() error { return c.recordLoop(ctx) })
 	defer c.tasks.Wait()
 	return eg.Wait()
 }
@@ -252,6 +266,9 @@
 		c.duration.Observe(c.opts.Now().Sub(sent))
 		c.opts.Rates.ApplyAllocations(decodeAllocations(resp.GetParts()), sent, c.opts.Now())
 		c.apply(resp, sent)
+		if resp.GetWantsStreams() {
+			c.resendStreams(resp.GetLeadership().GetTerm())
+		}
 	}
 	return resp.GetLeadership(), nil
 }
@@ -299,6 +316,7 @@
 	}
 	v.Quarantined, v.Suspects = decodeQuarantine(resp, now)
 	v.SuspectParts, v.Limits = resp.GetSuspectParts(), decodeLimits(resp, now)
+	v.Builds, v.BuildsKnown, v.WantsStreams = origin.NewBuilds(resp.GetBuilds()), resp.GetBuildsKnown(), resp.GetWantsStreams()
 	v.Confirmed, v.Hosts, v.Term = sent, int(resp.GetHosts()), term
 	c.view.Store(v)
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -33,6 +33,9 @@
 	reported  []bool
 	acquires  int
 	grants    int
+	streams   []*apiv1.StreamRecord
+	// wantsStreams is true when the leader asks for the records of all streams.
+	wantsStreams bool
 }
 
 func (c *fakeControl) with(f func()) {
@@ -63,7 +66,7 @@
 	if !req.GetHasDocument() || req.GetDocumentRevision() != h.c.revision {
 		resp.Document = &apiv1.PutDocument{Revision: h.c.revision}
 	}
-	resp.FleetEpoch = 1
+	resp.FleetEpoch, resp.WantsStreams = 1, h.c.wantsStreams
 	if req.GetTerm() != h.c.term || req.GetFleetEpoch() == 0 {
 		resp.FleetFull, resp.Servers = true, h.c.servers
 	}
@@ -89,6 +92,17 @@
 	return resp, nil
 }
 
+func (h fakeHost) RecordStreams(_ context.Context, req *apiv1.RecordStreamsRequest) (*apiv1.RecordStreamsResponse, error) {
+	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
+	h.c.streams = append(h.c.streams, req.GetStreams()...)
+	return &apiv1.RecordStreamsResponse{Leadership: &apiv1.Leadership{Leading: h.address == h.c.leader, Term: h.c.term}}, nil
+}
+
+func (h fakeHost) FindStream(context.Context, *apiv1.FindStreamRequest) (*apiv1.FindStreamResponse, error) {
+	return &apiv1.FindStreamResponse{Leadership: &apiv1.Leadership{Leading: h.address == h.c.leader}}, nil
+}
+
 func (c *fakeControl) Report(*apiv1.ExchangeRequest) {}
 func (c *fakeControl) Reported(ok bool)              { c.with(func() { c.reported = append(c.reported, ok) }) }
 
@@ -227,7 +241,7 @@
 // get a longer interval for that.
 func TestTokenRequestRate(t *testing.T) {
 	for _, hosts := range []int{1, 9, 15, 70, 1200} {
-		var p callPacer
+		p := callPacer{perSecond: maxGrantCallsPerSecond}
 		now := time.Unix(1000, 0)
 		saved := 0
 		for pause := p.next(hosts, now); hosts > 15 && pause == minGrantInterval; pause = p.next(hosts, now) {
@@ -250,7 +264,7 @@
 // A host that made no call for a while must make the next ones without the pause that
 // its share of the calls of many hosts gives.
 func TestSavedCallsAreMadeAtOnce(t *testing.T) {
-	var p callPacer
+	p := callPacer{perSecond: maxGrantCallsPerSecond}
 	now := time.Unix(1000, 0)
 	for range maxSavedCalls {
 		pause := p.next(75, now)
--- a/internal/exchange/grant.go
+++ b/internal/exchange/grant.go
@@ -22,10 +22,12 @@
 	maxSavedCalls = 4
 )
 
-// callPacer limits the calls of one host to its share of maxGrantCallsPerSecond on average.
+// callPacer limits the calls of one host to its share of the calls of all hosts on average.
 // It saves calls that were not needed, so that most requests are named at once: the mean time
 // between two calls grows with the number of hosts, and how long a request may wait does not.
 type callPacer struct {
+	// perSecond limits the calls of all hosts together.
+	perSecond float64
 	// saved is the number of calls that may be made without a pause, as of at.
 	saved float64
 	at    time.Time
@@ -33,7 +35,7 @@
 
 // next records a call and returns the time until the next one may follow.
 func (p *callPacer) next(hosts int, now time.Time) time.Duration {
-	perSecond := float64(maxGrantCallsPerSecond) / float64(max(hosts, 1))
+	perSecond := p.perSecond / float64(max(hosts, 1))
 	p.saved = min(p.saved+now.Sub(p.at).Seconds()*perSecond, maxSavedCalls) - 1
 	p.at = now
 	return max(minGrantInterval, time.Duration((1-p.saved)/perSecond*float64(time.Second)))
@@ -48,7 +50,7 @@
 }
 
 func (c *Client) grantLoop(ctx context.Context) error {
-	var pacer callPacer
+	pacer := callPacer{perSecond: maxGrantCallsPerSecond}
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/exchange/view.go
+++ b/internal/exchange/view.go
@@ -15,6 +15,7 @@
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
+	"github.com/jasminesaddle/jasminesaddle/internal/origin"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
 	"github.com/jasminesaddle/jasminesaddle/internal/serverlimit"
 )
@@ -41,6 +42,12 @@
 	SuspectParts [][]byte
 	// Limits are the limits of backend servers in force, with this host's shares, by instance.
 	Limits map[string]serverlimit.Limit
+	// Builds are the recorded builds of the services. BuildsKnown is false while the leader's
+	// release does not record them.
+	Builds      origin.Builds
+	BuildsKnown bool
+	// WantsStreams is true when the leader needs the records of all streams.
+	WantsStreams bool
 	// Hosts is the number of entry hosts.
 	Hosts int
 	// Term is the leader's term.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -71,6 +71,9 @@
 		if err == nil {
 			err = ar.checkQuarantine(ar.g.opts.Fleet.View(), ar.g.opts.Now())
 		}
+		if err == nil {
+			err = ar.recordOrigin(ctx, p, began)
+		}
 		ar.g.metrics.placing.Observe(ar.g.opts.Now().Sub(began))
 		if err != nil {
 			if failure == nil {
--- a/internal/gateway/build_test.go
+++ b/internal/gateway/build_test.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/origin"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
 )
 
@@ -94,3 +97,145 @@
 		must.Eq(t, event("1")+event("2"), c.String())
 	})
 }
+
+// RecordStream and FindStream are those of a leader that may be lost.
+func (h *harness) RecordStream(_ context.Context, r origin.Record, certain bool) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if certain {
+		return nil
+	}
+	h.recorded = append(h.recorded, r)
+	if h.recordErr != nil {
+		return h.recordErr
+	}
+	h.streams.Record(origin.Host{Name: "h"}, []origin.Record{r}, time.Now())
+	return nil
+}
+
+func (h *harness) FindStream(_ context.Context, key *origin.Key, services []string) (origin.Answer, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.findErr != nil {
+		return origin.Answer{}, h.findErr
+	}
+	return h.streams.Find(key, services, h.view.Builds, time.Now()), nil
+}
+
+// setRecordedBuilds has the leader know the builds of the engines.
+func (h *harness) setRecordedBuilds(list ...string) {
+	h.view.Builds, h.view.BuildsKnown = origin.NewBuilds([]*apiv1.ServiceBuilds{{Service: llm, Builds: list}}), true
+}
+
+func errUnavailable() error {
+	return fault.New(fault.KindUnavailable, "no control host leads", "retry later").WithRun(fault.NotRun)
+}
+
+// Guards against events of a stream whose build no leader knows: without the record a take-up would be joined.
+func TestNoEventBeforeRecord(t *testing.T) {
+	for name, tc := range map[string]struct {
+		builds  []string
+		viewAge time.Duration
+		err     error
+		served  bool
+		records int
+	}{
+		"recorded":                     {[]string{"v2", "v2", "v2"}, 0, nil, true, 1},
+		"not recorded":                 {[]string{"v2", "v2", "v2"}, 0, errUnavailable(), false, 1},
+		"leader lost":                  {[]string{"v2", "v2", "v2"}, 2 * time.Second, nil, false, 0},
+		"leader lost, first build":     {[]string{"v2", "v1", "v2"}, 2 * time.Second, errUnavailable(), true, 0},
+		"first build":                  {[]string{"v1", "v1", "v1"}, 0, errUnavailable(), true, 0},
+		"build not in the state":       {[]string{"v3", "v3", "v3"}, 0, nil, false, 0},
+		"first build, view beyond use": {[]string{"v1", "v1", "v1"}, origin.Lifetime + time.Second, nil, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start(t, func(h *harness) {
+				h.setBuilds(tc.builds...)
+				h.setRecordedBuilds("v1", "v2")
+				h.view.Confirmed = time.Now().Add(-tc.viewAge)
+				h.recordErr = tc.err
+				h.acquire = func(residency.Request) (exchange.Acquired, error) {
+					return exchange.Acquired{}, errUnavailable()
+				}
+				h.respond = func(int, Attempt) reply { return reply{status: 200, body: &body{pieces: []string{event("1")}}} }
+				c, err := h.ask("stream", nil)
+				must.Eq(t, tc.served, err == nil)
+				must.Len(t, tc.records, h.recorded)
+				if !tc.served {
+					must.Eq(t, fault.NotRun, runOf(t, err))
+					must.SliceEmpty(t, h.sent)
+					must.False(t, c.started)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a record that stays in force after its request went to another build: one that was
+// confirmed, or whose confirmation was lost.
+func TestRecordFollowsTheRetry(t *testing.T) {
+	start(t, func(h *harness) {
+		h.setBuilds("v1", "v2", "v2")
+		h.setRecordedBuilds("v1", "v2")
+		h.respond = func(n int, _ Attempt) reply {
+			if n%2 == 0 {
+				return reply{status: 503, notRun: true}
+			}
+			return reply{status: 200, body: &body{pieces: []string{event("1")}}}
+		}
+		for range 10 {
+			h.sent, h.recorded = nil, nil
+			_, err := h.ask("stream", nil)
+			must.NoError(t, err)
+			want := h.buildOf(h.sent[1].instance)
+			if h.buildOf(h.sent[0].instance) == "v2" || want == "v2" {
+				must.Eq(t, want, h.recorded[len(h.recorded)-1].Origin.Build, must.Sprint(h.instances()))
+			}
+		}
+	})
+}
+
+// Guards against a take-up that goes on where it was not begun, and one that is refused although it could go on.
+func TestTakeUpAtBuild(t *testing.T) {
+	takeUp := func(resumes string) func(*Request) {
+		return func(r *Request) { r.AfterEvent, r.Resumes = "2", resumes }
+	}
+	for name, tc := range map[string]struct {
+		builds, recorded []string
+		edit             func(*Request)
+		findErr          error
+		want             string // the build; empty when refused
+	}{
+		"recorded":             {[]string{"v1", "v2", "v1"}, []string{"v1", "v2"}, takeUp("known"), nil, "v2"},
+		"recorded, gone":       {[]string{"v1", "v1", "v1"}, []string{"v1", "v2"}, takeUp("known"), nil, ""},
+		"first build":          {[]string{"v2", "v1", "v2"}, []string{"v1", "v2"}, takeUp("other"), nil, "v1"},
+		"no attempt named":     {[]string{"v1", "v1", "v1"}, []string{"v1", "v2"}, takeUp(""), nil, ""},
+		"no attempt, one":      {[]string{"v1", "v1", "v1"}, []string{"v1"}, takeUp(""), nil, "v1"},
+		"leader not reached":   {[]string{"v1", "v1", "v1"}, []string{"v1"}, takeUp("other"), errUnavailable(), ""},
+		"names an attempt but": {[]string{"v1", "v1", "v1"}, []string{"v1"}, func(r *Request) { r.Resumes = "known" }, nil, "v1"},
+		"longer than records":  {[]string{"v1", "v1", "v1"}, []string{"v1"}, func(r *Request) { takeUp("x")(r); r.Timeout = time.Hour }, nil, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start(t, func(h *harness) {
+				h.setBuilds(tc.builds...)
+				h.setRecordedBuilds(tc.recorded...)
+				h.streams.Record(origin.Host{Name: "other"}, []origin.Record{{
+					Key: origin.KeyOf("red", "known"), Origin: origin.Origin{Service: llm, Build: "v2"}, Sequence: 1, Until: time.Now().Add(time.Minute),
+				}}, time.Now())
+				h.findErr = tc.findErr
+				h.acquire = func(residency.Request) (exchange.Acquired, error) {
+					return exchange.Acquired{}, errUnavailable()
+				}
+				h.respond = func(int, Attempt) reply { return reply{status: 200, body: &body{pieces: []string{event("3")}}} }
+				_, err := h.ask("stream", tc.edit)
+				if tc.want == "" {
+					must.Eq(t, fault.NotRun, runOf(t, err))
+					must.SliceEmpty(t, h.sent)
+					return
+				}
+				must.NoError(t, err)
+				must.Eq(t, tc.want, h.buildOf(h.sent[0].instance))
+			})
+		})
+	}
+}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -18,6 +18,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
 	"github.com/jasminesaddle/jasminesaddle/internal/h1"
 	"github.com/jasminesaddle/jasminesaddle/internal/meter"
+	"github.com/jasminesaddle/jasminesaddle/internal/origin"
 	"github.com/jasminesaddle/jasminesaddle/internal/quota"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
 	"github.com/jasminesaddle/jasminesaddle/internal/retry"
@@ -98,6 +99,10 @@
 
 	mu   sync.Mutex
 	sent []sent
+	// streams are the leader's records of streams, and recorded those that were sent to it.
+	streams            *origin.Table
+	recorded           []origin.Record
+	recordErr, findErr error
 }
 
 func (h *harness) View() *exchange.View { return h.view }
@@ -184,7 +189,7 @@
 			Teams: []catalog.Team{{Name: "red", Keys: []string{"k"}, Rate: 1000, Burst: 1000, ByTokens: true, DefaultTokens: 10}},
 		})
 		must.NoError(t, err)
-		h := &harness{t: t, rates: quota.NewLimiter(), crashed: map[string]bool{}}
+		h := &harness{t: t, rates: quota.NewLimiter(), crashed: map[string]bool{}, streams: origin.NewTable(origin.Builds{}, time.Now())}
 		now := time.Now()
 		h.rates.ApplyAllocations([]quota.Allocation{{Team: "red", PerSecond: 1000, Burst: 1000, Fraction: 1, Validity: time.Hour}}, now, now)
 		h.view = &exchange.View{Catalog: cat, Confirmed: now, Servers: map[string]*exchange.Server{}, ByService: map[string][]*exchange.Server{}}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -12,6 +13,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/balance"
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
 	"github.com/jasminesaddle/jasminesaddle/internal/meter"
+	"github.com/jasminesaddle/jasminesaddle/internal/origin"
 	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 	"github.com/jasminesaddle/jasminesaddle/internal/quota"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
@@ -22,6 +24,12 @@
 type Fleet interface {
 	View() *exchange.View
 	Acquire(ctx context.Context, r residency.Request) (exchange.Acquired, error)
+	// RecordStream records the origin of a stream that is about to begin. Unless it is certain, it
+	// returns only once the leader has the record.
+	RecordStream(ctx context.Context, r origin.Record, certain bool) error
+	// FindStream returns the origin of a stream that an attempt began, nil for an attempt that the
+	// caller did not name.
+	FindStream(ctx context.Context, key *origin.Key, services []string) (origin.Answer, error)
 	// RequestTokens asks the leader to grant tokens for the waiting requests.
 	RequestTokens()
 }
@@ -59,6 +67,9 @@
 	// crashChecks are the running checks of whether a server has crashed.
 	crashChecks sync.WaitGroup
 
+	// requests counts the requests whose streams are recorded.
+	requests atomic.Uint64
+
 	mu      sync.Mutex
 	rng     *rand.Rand
 	budgets map[string]*retry.Budget
--- a/internal/gateway/manyhosts_test.go
+++ b/internal/gateway/manyhosts_test.go
@@ -75,6 +75,14 @@
 	return &apiv1.AcquireResponse{}, nil
 }
 
+func (l *rateLeader) RecordStreams(context.Context, *apiv1.RecordStreamsRequest) (*apiv1.RecordStreamsResponse, error) {
+	return &apiv1.RecordStreamsResponse{}, nil
+}
+
+func (l *rateLeader) FindStream(context.Context, *apiv1.FindStreamRequest) (*apiv1.FindStreamResponse, error) {
+	return &apiv1.FindStreamResponse{}, nil
+}
+
 func (l *rateLeader) List(context.Context) ([]residency.ListedEngine, error) { return nil, nil }
 
 // instant is a backend that answers every request at once.
--- /dev/null
+++ b/internal/gateway/origin.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/origin"
+)
+
+// maxRecordingViewAge is the age of the view up to which streams at builds that have to be recorded
+// are begun. In an older view the leader is lost, and they would be refused.
+const maxRecordingViewAge = time.Second
+
+// takesUp reports whether the request takes up a stream of which its caller has events.
+func (ar *activeRequest) takesUp() bool { return ar.route.Resumable && ar.r.AfterEvent != "" }
+
+// traced reports whether the response may be taken up by the caller, so that its origin must be known.
+func (ar *activeRequest) traced() bool { return ar.route.Streaming && ar.route.Resumable }
+
+func (ar *activeRequest) streamKey(attempt string) origin.Key {
+	team := ""
+	if ar.team != nil {
+		team = ar.team.Name
+	}
+	return origin.KeyOf(team, attempt)
+}
+
+// findOrigin binds a request that takes up a stream to the service and the build that began it. Where
+// these are not known, it refuses the request, so that the caller can begin anew.
+func (ar *activeRequest) findOrigin(ctx context.Context, v *exchange.View) error {
+	var key *origin.Key
+	if ar.r.Resumes != "" {
+		k := ar.streamKey(ar.r.Resumes)
+		key = &k
+	}
+	services := make([]string, 0, len(ar.route.Split))
+	for _, s := range ar.route.Split {
+		services = append(services, s.Service)
+	}
+	answer, err := ar.g.opts.Fleet.FindStream(ctx, key, services)
+	if err != nil {
+		ar.originReason = "not_answered"
+		return err
+	}
+	ar.originReason = answer.Reason
+	if !answer.Known || !ar.route.Uses(answer.Origin.Service) || ar.r.Timeout > origin.Lifetime {
+		return fault.Newf(fault.KindNoBackend, "begin the stream anew, without the last event",
+			"it is not known which build of the backend servers began the stream: %s", answer.Reason).WithRun(fault.NotRun)
+	}
+	ar.build.Store(&answer.Origin.Build)
+	return ar.setService(v, answer.Origin.Service)
+}
+
+// isTraceable reports whether a stream that begins at the server can be taken up later.
+func (ar *activeRequest) isTraceable(v *exchange.View, s *exchange.Server, now time.Time) bool {
+	if !ar.traced() || !v.BuildsKnown {
+		return true
+	}
+	o := origin.Origin{Service: s.Service, Build: s.Build}
+	if ar.record.Origin == o {
+		return true
+	}
+	switch age := v.Age(now); {
+	case !v.Builds.Has(o) || age > origin.Lifetime:
+		return false
+	case age > maxRecordingViewAge:
+		return ar.isCertain(v, o)
+	}
+	return true
+}
+
+// isCertain reports whether the origin of a stream without a record is taken to be this one.
+func (ar *activeRequest) isCertain(v *exchange.View, o origin.Origin) bool {
+	return len(ar.route.Split) == 1 && v.Builds.IsFirst(o)
+}
+
+// recordOrigin records which build the attempt may begin the stream at. An attempt whose origin is
+// neither recorded nor certain must not be sent.
+func (ar *activeRequest) recordOrigin(ctx context.Context, p placement, now time.Time) error {
+	v := ar.g.opts.Fleet.View()
+	if !ar.traced() || !v.BuildsKnown {
+		return nil
+	}
+	o := origin.Origin{Service: p.server.Service, Build: p.server.Build}
+	if ar.record.Sequence > 0 && ar.record.Origin == o {
+		return nil
+	}
+	// A record whose confirmation was lost may be in force, so that another one has to replace it.
+	certain := ar.isCertain(v, o) && !ar.recordSent
+	if ar.record.Sequence == 0 {
+		until := now.Add(origin.Lifetime)
+		if ar.r.Timeout > 0 && ar.r.Timeout < origin.Lifetime {
+			until = now.Add(ar.r.Timeout)
+		}
+		ar.record = origin.Record{Key: ar.streamKey(ar.r.ID), Request: ar.g.requests.Add(1), Until: until}
+	}
+	ar.record.Sequence++
+	ar.record.Origin = o
+	ar.recordSent = ar.recordSent || !certain
+	err := ar.g.opts.Fleet.RecordStream(ctx, ar.record, certain)
+	if err != nil {
+		ar.record.Origin = origin.Origin{}
+		return err
+	}
+	return nil
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -136,7 +136,7 @@
 func (ar *activeRequest) eligibleServers(v *exchange.View, now time.Time) []*exchange.Server {
 	var out []*exchange.Server
 	for _, s := range v.ByService[ar.service.Name] {
-		if ar.isUsable(s) && ar.isEligible(v, s, now) {
+		if ar.isUsable(s) && ar.isTraceable(v, s, now) && ar.isEligible(v, s, now) {
 			out = append(out, s)
 		}
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -11,6 +11,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/origin"
 	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 	"github.com/jasminesaddle/jasminesaddle/internal/quota"
 )
@@ -71,8 +72,13 @@
 	suspect bool
 	// abortErr is why a partial response was aborted.
 	abortErr error
-	// build is the build of the server that sent the first relayed event; nil before it.
+	// build is the build that began the stream; nil before its first event.
 	build atomic.Pointer[string]
+	// record is the record of the stream, and recordSent is true once a leader may have it.
+	record     origin.Record
+	recordSent bool
+	// originReason says how the origin of a stream that is taken up was found.
+	originReason origin.Reason
 	// pinned is true once the response has begun and cannot be resumed at
 	// another server.
 	pinned atomic.Bool
@@ -126,6 +132,9 @@
 	cause := fault.New(fault.KindDeadline, "the request's deadline passed", "send the request again").WithRun(fault.NotRun)
 	ctx, cancel := context.WithTimeoutCause(ctx, ar.deadline.Sub(now), cause)
 	defer cancel()
+	if err := ar.chooseService(ctx, v, now); err != nil {
+		return err
+	}
 	if err := ar.reserve(ctx); err != nil {
 		return err
 	}
@@ -135,7 +144,7 @@
 }
 
 // admit finds the route and the team, and refuses requests that are not
-// allowed or cannot be served.
+// allowed or come too late.
 func (ar *activeRequest) admit(v *exchange.View, now time.Time) error {
 	if v.Catalog == nil {
 		return fault.New(fault.KindStaleView, "this host has no catalog yet", "send the request to another host").
@@ -160,7 +169,26 @@
 	if !ar.deadline.After(now) {
 		return fault.New(fault.KindDeadline, "the request's deadline had passed on arrival", "send the request again").WithRun(fault.NotRun)
 	}
-	if ar.service, ok = v.Catalog.Service(ar.pickService()); !ok {
+	return nil
+}
+
+// chooseService chooses the service: that which began the stream, or one of the route.
+func (ar *activeRequest) chooseService(ctx context.Context, v *exchange.View, now time.Time) error {
+	var err error
+	if ar.takesUp() {
+		err = ar.findOrigin(ctx, v)
+	} else {
+		err = ar.setService(v, ar.pickService())
+	}
+	if err != nil {
+		return err
+	}
+	return ar.checkQuarantine(v, now)
+}
+
+func (ar *activeRequest) setService(v *exchange.View, name string) error {
+	var ok bool
+	if ar.service, ok = v.Catalog.Service(name); !ok {
 		return fault.New(fault.KindInternal, "the route has no service", "report this as a defect").WithRun(fault.NotRun)
 	}
 	ar.r.Generation = ar.r.Generation && ar.service.Engine != nil
@@ -168,7 +196,7 @@
 	if ar.r.Generation {
 		ar.parts = ar.partFingerprints()
 	}
-	return ar.checkQuarantine(v, now)
+	return nil
 }
 
 // refuseUnknown returns the refusal, or a stale view error when the view is
@@ -311,7 +339,8 @@
 		e = e.Str("copy", ar.r.Weights.String()).Int("prompt_tokens", ar.r.PromptTokens).Int("loads", ar.loads)
 	}
 	if ar.r.AfterEvent != "" {
-		e = e.Str("resumes", truncate(ar.r.Resumes)).Str("after_event", truncate(ar.r.AfterEvent))
+		e = e.Str("resumes", truncate(ar.r.Resumes)).Str("after_event", truncate(ar.r.AfterEvent)).
+			Str("origin", string(ar.originReason))
 	}
 	if !ar.firstEventAt.IsZero() {
 		e = e.Dur("first", ar.firstEventAt.Sub(ar.r.Received)).Int("events", ar.events.count)
--- /dev/null
+++ b/internal/gateway/takeup_test.go
@@ -0,0 +1,561 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
+	"github.com/jasminesaddle/jasminesaddle/internal/coordinator"
+	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
+	"github.com/jasminesaddle/jasminesaddle/internal/h1"
+	"github.com/jasminesaddle/jasminesaddle/internal/meter"
+	"github.com/jasminesaddle/jasminesaddle/internal/quota"
+	"github.com/jasminesaddle/jasminesaddle/internal/replica"
+	"github.com/jasminesaddle/jasminesaddle/internal/residency"
+	"github.com/jasminesaddle/jasminesaddle/internal/state"
+)
+
+const (
+	streamEvents  = 14
+	eventInterval = 40 * time.Millisecond
+	simHosts      = 6
+	simControls   = 3
+	simRate       = 120 // new streams per second
+	simRoundTrip  = 3 * time.Millisecond
+	// simPatience is how long a caller waits for a stream, over all its attempts.
+	simPatience = 4 * time.Second
+)
+
+// fleetSim is a fleet of entry and control hosts with engines of several builds and callers that take up
+// their streams.
+type fleetSim struct {
+	cat     *catalog.Catalog
+	machine *state.Machine
+	stop    context.CancelFunc
+	ctx     context.Context
+	tasks   sync.WaitGroup
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	index    uint64
+	term     uint64
+	leader   int // index of the leading control host, -1 for none
+	controls []*coordinator.Coordinator
+	hosts    []*simHost
+	engines  map[string]*simEngine
+	attempts int
+	// lossRate is the fraction of calls to control hosts that are lost, half of them after they were
+	// carried out.
+	lossRate float64
+	count    simCount
+}
+
+// simCount counts streams: those asked for and begun, those that callers took up while two engines of
+// their build served, those of them that went on, and those joined from two builds.
+type simCount struct {
+	asked, begun, takenUp, goneOn, joined int
+}
+
+type simEngine struct {
+	instance, build string
+	draining        bool
+	cut             chan struct{}
+}
+
+// simHost is one run of an entry host.
+type simHost struct {
+	ctx     context.Context
+	stop    context.CancelFunc
+	gateway *Gateway
+}
+
+func (s *fleetSim) locked(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// simLog is the replicated log as one control host sees it.
+type simLog struct {
+	s    *fleetSim
+	self int
+}
+
+func (l simLog) Propose(_ context.Context, cmd *apiv1.Command) (any, error) {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	if l.s.leader != l.self {
+		return nil, errors.New("not leading")
+	}
+	l.s.index++
+	return l.s.machine.Apply(l.s.index, cmd), nil
+}
+
+func (l simLog) Barrier(context.Context) error { return nil }
+
+func (l simLog) Lease() replica.Lease {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	return replica.Lease{Term: l.s.term, Held: l.s.leader == l.self, Until: time.Now().Add(time.Second)}
+}
+
+func (l simLog) Leadership() *apiv1.Leadership {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	out := &apiv1.Leadership{Leading: l.s.leader == l.self, Term: l.s.term}
+	if l.s.leader >= 0 {
+		out.Leader = strconv.Itoa(l.s.leader)
+	}
+	return out
+}
+
+func (l simLog) Status() replica.Status {
+	self := &apiv1.Member{Address: strconv.Itoa(l.self), DiskId: strconv.Itoa(l.self), Voter: true}
+	return replica.Status{Self: self, Members: []*apiv1.Member{self}}
+}
+
+func (l simLog) Machine() replica.Machine                    { return l.s.machine }
+func (l simLog) Join(*apiv1.JoinRequest) *apiv1.JoinResponse { return &apiv1.JoinResponse{} }
+
+// Order and Report are not needed: all engines hold the model.
+func (s *fleetSim) Order(context.Context, residency.Order, uint64) residency.Outcome {
+	return residency.Done
+}
+
+func (s *fleetSim) Report(context.Context, string, string) (residency.Report, error) {
+	return residency.Report{}, errors.New("no report")
+}
+
+func (s *fleetSim) Execute(context.Context, *apiv1.ExecuteRequest) (*apiv1.ExecuteResponse, error) {
+	return nil, errors.New("no orders")
+}
+
+func (s *fleetSim) List(context.Context) ([]residency.ListedEngine, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []residency.ListedEngine
+	for _, e := range s.engines {
+		out = append(out, residency.ListedEngine{
+			Instance: e.instance, Service: llm, Address: e.instance, Build: e.build, Slots: 64, Draining: e.draining,
+			Residents: []residency.Resident{{Ref: residency.Ref{Model: "m"}, Version: 1}},
+		})
+	}
+	return out, nil
+}
+
+// simControl carries calls of entry hosts to one control host, over a network that loses some.
+type simControl struct {
+	s    *fleetSim
+	self int
+}
+
+func carry[Req, Resp any](c simControl, call func(context.Context, Req) (Resp, error), ctx context.Context, req Req) (Resp, error) {
+	var none Resp
+	time.Sleep(simRoundTrip / 2)
+	loss := 1.0
+	c.s.locked(func() { loss = c.s.rng.Float64() / max(c.s.lossRate, 1e-9) })
+	if loss < 0.5 {
+		<-ctx.Done()
+		return none, ctx.Err()
+	}
+	resp, err := call(ctx, req)
+	if loss < 1 {
+		<-ctx.Done()
+		return none, ctx.Err()
+	}
+	time.Sleep(simRoundTrip / 2)
+	return resp, err
+}
+
+func (c simControl) coordinator() *coordinator.Coordinator { return c.s.controls[c.self] }
+
+func (c simControl) Exchange(ctx context.Context, r *apiv1.ExchangeRequest) (*apiv1.ExchangeResponse, error) {
+	return carry(c, c.coordinator().Exchange, ctx, r)
+}
+
+func (c simControl) Acquire(ctx context.Context, r *apiv1.AcquireRequest) (*apiv1.AcquireResponse, error) {
+	return carry(c, c.coordinator().Acquire, ctx, r)
+}
+
+func (c simControl) Lend(ctx context.Context, r *apiv1.LendRequest) (*apiv1.LendResponse, error) {
+	return carry(c, c.coordinator().Lend, ctx, r)
+}
+
+func (c simControl) RecordStreams(ctx context.Context, r *apiv1.RecordStreamsRequest) (*apiv1.RecordStreamsResponse, error) {
+	return carry(c, c.coordinator().RecordStreams, ctx, r)
+}
+
+func (c simControl) FindStream(ctx context.Context, r *apiv1.FindStreamRequest) (*apiv1.FindStreamResponse, error) {
+	return carry(c, c.coordinator().FindStream, ctx, r)
+}
+
+// Send streams events that name the engine's build.
+func (s *fleetSim) Send(ctx context.Context, _ *Request, a Attempt) (*Response, error) {
+	s.mu.Lock()
+	e := s.engines[a.Instance]
+	s.mu.Unlock()
+	if e == nil {
+		return nil, h1.NewError(false, false, errReset)
+	}
+	after, _ := strconv.Atoi(a.AfterEvent)
+	return &Response{
+		Status: 200, Header: http.Header{}, Length: -1, FromBackend: true,
+		Body: &simBody{ctx: ctx, engine: e, next: after + 1},
+	}, nil
+}
+
+func (s *fleetSim) Reachable(_ context.Context, address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engines[address] != nil
+}
+
+// simBody is the stream of an engine, which breaks off when the engine goes.
+type simBody struct {
+	ctx    context.Context
+	engine *simEngine
+	next   int
+}
+
+func (b *simBody) Read(p []byte) (int, error) {
+	if b.next > streamEvents {
+		return 0, io.EOF
+	}
+	select {
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	case <-b.engine.cut:
+		return 0, errReset
+	case <-time.After(eventInterval):
+	}
+	n := copy(p, fmt.Sprintf("id: %d\ndata: %s\n\n", b.next, b.engine.build))
+	b.next++
+	return n, nil
+}
+
+func (b *simBody) Close() error { return nil }
+
+// startEngines adds engines of a build.
+func (s *fleetSim) startEngines(build string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for range n {
+		s.attempts++
+		e := &simEngine{instance: fmt.Sprintf("%s-%d", build, s.attempts), build: build, cut: make(chan struct{})}
+		s.engines[e.instance] = e
+	}
+}
+
+// removeEngines drains engines of a build, and ends them after a while.
+func (s *fleetSim) removeEngines(build string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.engines {
+		if n > 0 && e.build == build && !e.draining {
+			n--
+			e.draining = true
+			time.AfterFunc(1500*time.Millisecond, func() {
+				s.locked(func() { delete(s.engines, e.instance) })
+				close(e.cut)
+			})
+		}
+	}
+}
+
+// serving returns the number of engines of a build that take new work.
+func (s *fleetSim) serving(build string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, e := range s.engines {
+		if e.build == build && !e.draining {
+			n++
+		}
+	}
+	return n
+}
+
+// startHost starts an entry host in the place of an earlier one.
+func (s *fleetSim) startHost(i int) {
+	ctx, stop := context.WithCancel(s.ctx)
+	rates := quota.NewLimiter()
+	g := New(Options{Rates: rates, Backend: s, DropConnections: func(string) {}, Logger: zerolog.Nop(), Meter: meter.NewSet(""), Now: time.Now})
+	client := exchange.New(exchange.Options{
+		Host: fmt.Sprint("host", i), Incarnation: uint64(time.Now().UnixNano()), Seeds: []string{"0", "1", "2"},
+		Connect: func(address string) exchange.Coordination {
+			n, _ := strconv.Atoi(address)
+			return simControl{s, n}
+		},
+		Decode: func(*apiv1.PutDocument) (*catalog.Catalog, error) { return s.cat, nil },
+		Rates:  rates, Usage: g, Lister: s, Interval: 250 * time.Millisecond, Logger: zerolog.Nop(), Meter: meter.NewSet(""), Now: time.Now,
+	})
+	g.SetFleet(client)
+	s.tasks.Go(func() { _ = client.Run(ctx) })
+	s.locked(func() { s.hosts[i] = &simHost{ctx, stop, g} })
+}
+
+// killHosts kills entry hosts, which are back after the time.
+func (s *fleetSim) killHosts(n int, downtime time.Duration) {
+	for i := range n {
+		s.locked(func() {
+			s.hosts[i].stop()
+			s.hosts[i] = nil
+		})
+	}
+	time.Sleep(downtime)
+	for i := range n {
+		s.startHost(i)
+	}
+}
+
+// changeLeader has another control host lead, after a time without a leader.
+func (s *fleetSim) changeLeader(vacancy time.Duration) {
+	var old int
+	s.locked(func() { old, s.leader = s.leader, -1 })
+	time.Sleep(vacancy)
+	s.locked(func() { s.leader, s.term = (old+1)%simControls, s.term+1 })
+}
+
+// anyHost returns a host that runs, nil if there is none.
+func (s *fleetSim) anyHost() *simHost {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for range 2 * simHosts {
+		if h := s.hosts[s.rng.IntN(simHosts)]; h != nil {
+			return h
+		}
+	}
+	return nil
+}
+
+// call is one caller: it begins a stream and takes it up where it breaks off.
+func (s *fleetSim) call() {
+	deadline := time.Now().Add(simPatience)
+	st := simStream{}
+	for range 8 {
+		id := ""
+		s.locked(func() {
+			s.attempts++
+			id = fmt.Sprint("attempt", s.attempts)
+		})
+		if h := s.anyHost(); h != nil {
+			s.attempt(&st, h, id, time.Until(deadline))
+		}
+		if len(st.builds) >= streamEvents || time.Until(deadline) < 100*time.Millisecond {
+			break
+		}
+		time.Sleep(150 * time.Millisecond)
+	}
+	s.locked(func() { s.count.add(st) })
+}
+
+// simStream is what a caller has of its stream.
+type simStream struct {
+	// builds are the builds of the events, in order, and first is the attempt that brought the first.
+	builds []string
+	first  string
+	// takenUp is true once the caller took the stream up while two engines of its build served, and
+	// goneOn once that brought an event.
+	takenUp, goneOn bool
+}
+
+// attempt makes one attempt of a caller.
+func (s *fleetSim) attempt(st *simStream, h *simHost, id string, patience time.Duration) {
+	had := len(st.builds)
+	r := &Request{
+		ID: id, Method: "POST", Target: "/stream/x", Path: "/stream/x", Host: "h", APIKey: "k", Generation: true,
+		Weights: residency.Ref{Model: "m"}, PromptTokens: 50, OutputTokens: 10, Timeout: patience, Received: time.Now(),
+	}
+	if had > 0 {
+		r.AfterEvent, r.Resumes = strconv.Itoa(had), st.first
+		st.takenUp = st.takenUp || s.serving(st.builds[had-1]) >= 2
+	}
+	c := &caller{}
+	_ = h.gateway.Serve(h.ctx, r, c)
+	st.builds = append(st.builds, buildsOf(c.Buffer)...)
+	if had == 0 && len(st.builds) > 0 {
+		st.first = id
+	}
+	st.goneOn = st.goneOn || st.takenUp && len(st.builds) > had
+}
+
+func (c *simCount) add(st simStream) {
+	c.asked++
+	if len(st.builds) > 0 {
+		c.begun++
+	}
+	if st.takenUp {
+		c.takenUp++
+	}
+	if st.goneOn {
+		c.goneOn++
+	}
+	for _, build := range st.builds {
+		if build != st.builds[0] {
+			c.joined++
+			return
+		}
+	}
+}
+
+func buildsOf(b bytes.Buffer) []string {
+	var out []string
+	for line := range strings.SplitSeq(b.String(), "\n") {
+		if build, ok := strings.CutPrefix(line, "data: "); ok {
+			out = append(out, build)
+		}
+	}
+	return out
+}
+
+// playTakeUps runs traffic for a time beside a scenario, and returns the counts.
+func playTakeUps(t *testing.T, seed uint64, length time.Duration, scenario func(s *fleetSim)) simCount {
+	t.Helper()
+	var count simCount
+	synctest.Test(t, func(t *testing.T) {
+		cat, err := catalog.New(catalog.Catalog{
+			Revision: 1, Services: []catalog.Service{{Name: llm, Engine: &catalog.Engine{
+				AdapterSlots: 4, MemoryMB: 1000, LoadsPerSecond: 3, Models: []catalog.Model{{Name: "m", MB: 500, AdapterMB: 1}}}}},
+			Routes: []catalog.Route{route("stream", func(r *catalog.Route) {
+				r.Streaming, r.Repeatable, r.Resumable = true, true, true
+				r.Split = []catalog.WeightedService{{Service: llm, Weight: 1}}
+			})},
+			Teams: []catalog.Team{{Name: "red", Keys: []string{"k"}}},
+		})
+		must.NoError(t, err)
+		s := &fleetSim{cat: cat, machine: state.New(), rng: rand.New(rand.NewPCG(seed, 7)), term: 1, engines: map[string]*simEngine{}, hosts: make([]*simHost, simHosts)}
+		s.ctx, s.stop = context.WithCancel(context.Background())
+		s.startEngines("v1", 6)
+		for i := range simControls {
+			c := coordinator.New(coordinator.Options{
+				Log: simLog{s, i}, Lister: s, Engines: s, Self: strconv.Itoa(i), Connect: func(string) coordinator.OrderSender { return s },
+				Decode:     func(*apiv1.PutDocument) (*catalog.Catalog, error) { return cat, nil },
+				OrderPause: time.Second, ListInterval: 500 * time.Millisecond, Logger: zerolog.Nop(), Meter: meter.NewSet(""), Now: time.Now,
+			})
+			s.controls = append(s.controls, c)
+			s.tasks.Go(func() { _ = c.Run(s.ctx) })
+		}
+		_, err = s.controls[0].PutDocument(s.ctx, &apiv1.PutDocument{Revision: 1})
+		must.NoError(t, err)
+		for i := range simHosts {
+			s.startHost(i)
+		}
+		time.Sleep(2 * time.Second)
+		s.tasks.Go(func() { scenario(s) })
+		var calls sync.WaitGroup
+		for began := time.Now(); time.Since(began) < length; {
+			pause := 0.0
+			s.locked(func() { pause = s.rng.ExpFloat64() / simRate })
+			time.Sleep(time.Duration(pause * float64(time.Second)))
+			calls.Go(s.call)
+		}
+		calls.Wait()
+		s.stop()
+		s.tasks.Wait()
+		count = s.count
+		time.Sleep(5 * time.Second) // lets the checks of crashes end
+	})
+	return count
+}
+
+// Guards against streams that hold events of two builds over a caller's attempts, and against take-ups
+// that are refused although their build is served.
+func TestTakenUpStreamsStayAtBuild(t *testing.T) {
+	killOne := func(s *fleetSim) { s.killHosts(1, time.Second) }
+	for name, tc := range map[string]struct {
+		play func(s *fleetSim)
+		// mayRefuse is true where records die with all hosts that had them.
+		mayRefuse bool
+	}{
+		"one build": {func(s *fleetSim) { time.Sleep(3 * time.Second); s.killHosts(simHosts, time.Second) }, false},
+		"calm release": {func(s *fleetSim) {
+			time.Sleep(time.Second)
+			s.startEngines("v2", 3)
+			for range 4 {
+				time.Sleep(1500 * time.Millisecond)
+				killOne(s)
+			}
+		}, false},
+		"all entry hosts killed": {func(s *fleetSim) {
+			time.Sleep(time.Second)
+			s.startEngines("v2", 3)
+			time.Sleep(4 * time.Second)
+			s.killHosts(simHosts, time.Second)
+		}, false},
+		"old build leaves before all entry hosts are killed": {func(s *fleetSim) {
+			time.Sleep(time.Second)
+			s.startEngines("v2", 6)
+			time.Sleep(2 * time.Second)
+			s.removeEngines("v1", 6)
+			time.Sleep(1600 * time.Millisecond)
+			s.killHosts(simHosts, time.Second)
+		}, false},
+		"change of the leader, then an entry host killed": {func(s *fleetSim) {
+			time.Sleep(time.Second)
+			s.startEngines("v2", 3)
+			time.Sleep(4 * time.Second)
+			s.changeLeader(1500 * time.Millisecond)
+			time.Sleep(700 * time.Millisecond)
+			s.killHosts(simHosts/2, time.Second)
+		}, false},
+		"all control hosts, then all entry hosts": {func(s *fleetSim) {
+			time.Sleep(time.Second)
+			s.startEngines("v2", 3)
+			time.Sleep(3 * time.Second)
+			s.changeLeader(3 * time.Second)
+			time.Sleep(3 * time.Second)
+			s.killHosts(simHosts, time.Second)
+		}, false},
+		"leader and entry hosts at once": {func(s *fleetSim) {
+			time.Sleep(time.Second)
+			s.startEngines("v2", 3)
+			time.Sleep(3 * time.Second)
+			s.tasks.Go(func() { s.changeLeader(500 * time.Millisecond) })
+			s.killHosts(simHosts, time.Second)
+		}, true},
+		"three builds, a rollback and lost calls": {func(s *fleetSim) {
+			s.locked(func() { s.lossRate = 0.2 })
+			s.startEngines("v2", 3)
+			time.Sleep(2 * time.Second)
+			s.startEngines("v3", 3)
+			s.removeEngines("v2", 2)
+			for range 3 {
+				time.Sleep(time.Second)
+				killOne(s)
+			}
+			s.startEngines("v2", 3)
+			s.removeEngines("v3", 3)
+			s.changeLeader(time.Second)
+			time.Sleep(time.Second)
+			s.killHosts(simHosts, time.Second)
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				c := playTakeUps(t, seed, 14*time.Second, tc.play)
+				t.Logf("seed %d: %d of %d new streams began, %d of %d take-ups with two engines of their build went on, %d streams joined",
+					seed, c.begun, c.asked, c.goneOn, c.takenUp, c.joined)
+				must.Zero(t, c.joined, must.Sprint("streams hold events of two builds"))
+				must.GreaterEq(t, 12, c.takenUp, must.Sprint("the scenario breaks no streams"))
+				if !tc.mayRefuse {
+					must.GreaterEq(t, c.begun*c.takenUp, 2*c.goneOn*c.asked, must.Sprint("take-ups are refused"))
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/origin/origin_test.go
@@ -0,0 +1,146 @@
+package origin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+)
+
+var now = time.Unix(1000, 0)
+
+func builds(list ...string) Builds {
+	return NewBuilds([]*apiv1.ServiceBuilds{{Service: "s", Builds: list}})
+}
+
+func record(key byte, build string, request uint64, sequence uint32) Record {
+	return Record{Key: Key{key}, Origin: Origin{"s", build}, Request: request, Sequence: sequence, Until: now.Add(time.Minute)}
+}
+
+// Guards against a build that is named although another one may have begun the stream.
+func TestAbsenceOfRecordIsNoAgreement(t *testing.T) {
+	one, two := builds("v1"), builds("v1", "v2")
+	key := Key{1}
+	for name, tc := range map[string]struct {
+		inherited, builds Builds
+		age               time.Duration
+		key               *Key
+		services          []string
+		want              Answer
+	}{
+		"one build":                      {one, one, 0, &key, []string{"s"}, Answer{true, Origin{"s", "v1"}, OnlyBuild}},
+		"one build, no attempt":          {one, one, 0, nil, []string{"s"}, Answer{true, Origin{"s", "v1"}, OnlyBuild}},
+		"second build in this term":      {one, two, 0, &key, []string{"s"}, Answer{true, Origin{"s", "v1"}, FirstBuild}},
+		"second build, no attempt":       {one, two, 0, nil, []string{"s"}, Answer{Reason: NoAttempt}},
+		"second build before the term":   {two, two, Lifetime, &key, []string{"s"}, Answer{Reason: RecordsLost}},
+		"second build long before it":    {two, two, Lifetime + 1, &key, []string{"s"}, Answer{true, Origin{"s", "v1"}, FirstBuild}},
+		"first build dropped since then": {two, builds("v2"), 0, &key, []string{"s"}, Answer{true, Origin{"s", "v2"}, OnlyBuild}},
+		"no build seen":                  {Builds{}, Builds{}, 0, &key, []string{"s"}, Answer{Reason: NoBuilds}},
+		"split route":                    {one, one, 0, &key, []string{"s", "u"}, Answer{Reason: SplitRoute}},
+		"route without service":          {one, one, 0, &key, nil, Answer{Reason: SplitRoute}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable(tc.inherited, now)
+			must.Eq(t, tc.want, table.Find(tc.key, tc.services, tc.builds, now.Add(tc.age)))
+		})
+	}
+}
+
+// Guards against a late or repeated record that replaces a newer one, and against two requests of one
+// attempt that are taken for one.
+func TestRecordOrder(t *testing.T) {
+	h, other := Host{"h", 1}, Host{"h", 2}
+	for name, tc := range map[string]struct {
+		puts []Record
+		by   []Host
+		want Answer
+	}{
+		"replaced":                   {[]Record{record(1, "v2", 7, 1), record(1, "v1", 7, 2)}, []Host{h, h}, Answer{true, Origin{"s", "v1"}, Recorded}},
+		"late":                       {[]Record{record(1, "v1", 7, 2), record(1, "v2", 7, 1)}, []Host{h, h}, Answer{true, Origin{"s", "v1"}, Recorded}},
+		"sent again":                 {[]Record{record(1, "v2", 7, 1), record(1, "v2", 7, 1)}, []Host{h, h}, Answer{true, Origin{"s", "v2"}, Recorded}},
+		"two requests, one build":    {[]Record{record(1, "v2", 7, 1), record(1, "v2", 8, 1)}, []Host{h, other}, Answer{true, Origin{"s", "v2"}, Recorded}},
+		"two requests at two builds": {[]Record{record(1, "v2", 7, 1), record(1, "v1", 8, 1)}, []Host{h, h}, Answer{Reason: SeveralRecords}},
+		"two hosts at two builds":    {[]Record{record(1, "v2", 7, 1), record(1, "v1", 7, 9)}, []Host{h, other}, Answer{Reason: SeveralRecords}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable(builds("v1", "v2"), now)
+			for i, r := range tc.puts {
+				must.True(t, table.Record(tc.by[i], []Record{r}, now))
+			}
+			must.Eq(t, tc.want, table.Find(&Key{1}, []string{"s"}, builds("v1", "v2"), now))
+			must.Eq(t, RecordsLost, table.Find(&Key{1}, []string{"s"}, builds("v1", "v2"), now.Add(2*time.Minute)).Reason)
+		})
+	}
+}
+
+// Guards against records that grow without bound, and against a full table that drops some in silence.
+func TestRecordsAreBounded(t *testing.T) {
+	table := NewTable(Builds{}, now)
+	batch := make([]Record, maxRecords)
+	for i := range batch {
+		batch[i] = Record{Key: KeyOf("team", fmt.Sprint(i)), Origin: Origin{"s", "v2"}, Sequence: 1, Until: now.Add(time.Second)}
+	}
+	must.True(t, table.Record(Host{}, batch, now))
+	must.False(t, table.Record(Host{}, []Record{record(1, "v2", 1, 1)}, now))
+	must.Eq(t, maxRecords, table.Len())
+	must.True(t, table.Record(Host{}, []Record{record(1, "v2", 1, 1)}, now.Add(expireInterval)))
+	must.Eq(t, 1, table.Len())
+}
+
+// Guards against a build that is dropped while streams of it may live: because its servers are gone for a
+// moment, or because the list could not be read.
+func TestBuildStaysWhileStreamsMayLive(t *testing.T) {
+	h, recorded := NewHistory(), builds("v1", "v2")
+	v1, v2 := Origin{"s", "v1"}, Origin{"s", "v2"}
+	must.Nil(t, h.Observe([]Origin{v1, v2}, recorded, now))
+	must.Nil(t, h.Observe([]Origin{v2}, recorded, now.Add(time.Second)))
+	must.Nil(t, h.Observe([]Origin{v2}, recorded, now.Add(Lifetime)))
+	h.ObserveFailure()
+	later := now.Add(2 * Lifetime)
+	must.Nil(t, h.Observe([]Origin{v2}, recorded, later), must.Sprint("time without a list counts"))
+	must.Nil(t, h.Observe([]Origin{v1, v2}, recorded, later.Add(Lifetime)))
+	must.Nil(t, h.Observe([]Origin{v2}, recorded, later.Add(2*Lifetime)), must.Sprint("the build was back in between"))
+	change := h.Observe([]Origin{v2}, recorded, later.Add(3*Lifetime+1))
+	must.Eq(t, []string{"v1"}, change.GetRemoved()[0].GetBuilds())
+	change = h.Observe([]Origin{v2, {"s", "v3"}, {"s", "v3"}, {"u", "1"}}, recorded, now)
+	must.Eq(t, []string{"v3"}, change.GetAdded()[0].GetBuilds())
+	must.Eq(t, "u", change.GetAdded()[1].GetService())
+}
+
+// Guards against a team that learns of another team's stream.
+func TestKeyOfAnotherTeam(t *testing.T) {
+	must.NotEq(t, KeyOf("red", "a"), KeyOf("blue", "a"))
+	must.NotEq(t, KeyOf("red", "a"), KeyOf("re", "da"))
+}
+
+// Guards against a record from the wire that is accepted with a key of another length or without a bound.
+func TestDecodeRecord(t *testing.T) {
+	r := record(1, "v2", 7, 3)
+	got, ok := DecodeRecord(r.Proto(now), now)
+	must.True(t, ok)
+	must.Eq(t, r, got)
+	for _, n := range []int{0, 15, 17} {
+		_, ok = DecodeRecord(&apiv1.StreamRecord{Key: make([]byte, n)}, now)
+		must.False(t, ok)
+	}
+	long, _ := DecodeRecord(&apiv1.StreamRecord{Key: make([]byte, 16), RemainingMs: 1 << 31}, now)
+	must.Eq(t, now.Add(Lifetime), long.Until)
+}
+
+// Guards against two requests of one attempt at one host that begin streams at two builds.
+func TestLogFindsConflict(t *testing.T) {
+	l := NewLog()
+	_, conflict := l.Put(record(1, "v1", 7, 1), now)
+	must.False(t, conflict)
+	_, conflict = l.Put(record(1, "v2", 7, 2), now)
+	must.False(t, conflict, must.Sprint("a retry of the same request"))
+	other, conflict := l.Put(record(1, "v1", 8, 1), now)
+	must.True(t, conflict)
+	must.Eq(t, "v2", other.Origin.Build)
+	must.Len(t, 1, l.All(now))
+	l.Prune(now.Add(2 * time.Minute))
+	must.SliceEmpty(t, l.All(now))
+}
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -1,6 +1,6 @@
 // Package state implements the replicated state machine: the configuration with its
 // numbered changes, the records of non-repeatable calls, the quarantined
-// fingerprints, the catalog and the holders of engines. It is deterministic: time
+// fingerprints, the catalog, the holders of engines and the builds of services. It is deterministic: time
 // comes only from the commands, and no result depends on the order of a map.
 package state
 
@@ -28,6 +28,7 @@
 	quarantines quarantines
 	documents   documents
 	holders     holders
+	builds      builds
 	changed     chan struct{}
 }
 
@@ -41,6 +42,7 @@
 		quarantines: quarantines{},
 		documents:   newDocuments(),
 		holders:     newHolders(),
+		builds:      newBuilds(),
 		changed:     make(chan struct{}),
 	}
 }
@@ -76,6 +78,8 @@
 		return m.documents.putVersion(c.PutAdapterVersion)
 	case *apiv1.Command_PutHolders:
 		m.holders.put(c.PutHolders)
+	case *apiv1.Command_PutBuilds:
+		m.builds.put(c.PutBuilds)
 	}
 	return nil
 }
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -47,6 +47,7 @@
 		AdapterVersions: m.documents.sortedVersions(0),
 		EngineHolders:   m.holders.sorted(),
 		LastFence:       m.holders.lastFence,
+		Builds:          m.builds.sorted(),
 	}, m.config
 }
 
@@ -73,7 +74,7 @@
 	m.applied, m.clockUnixMs = s.GetAppliedIndex(), s.GetClockUnixMs()
 	m.config, m.index, m.history = next.config, next.index, next.history
 	m.calls, m.quarantines = next.calls, next.quarantines
-	m.documents, m.holders = next.documents, next.holders
+	m.documents, m.holders, m.builds = next.documents, next.holders, next.builds
 	m.notify()
 	return nil
 }
@@ -119,9 +120,11 @@
 	for _, h := range s.GetEngineHolders() {
 		engineHolders.byInstance[h.GetInstance()] = h
 	}
+	serviceBuilds := newBuilds()
+	serviceBuilds.put(&apiv1.PutBuilds{Added: s.GetBuilds()})
 	return &Machine{
-		holders: engineHolders,
-		config:  cfg, index: manifest.NewIndex(cfg), history: h, calls: table, quarantines: quarantined, documents: docs,
+		holders: engineHolders, builds: serviceBuilds,
+		config: cfg, index: manifest.NewIndex(cfg), history: h, calls: table, quarantines: quarantined, documents: docs,
 	}, nil
 }
 
