Requests that wait for one call no longer share its error

The race detector failed TestTakenUpStreamsStayAtBuild: the error of a call that records streams went to all requests that waited for it, and each of them varies the retry-after time of its own error. Each request gets a copy.

--- a/internal/exchange/streams.go
+++ b/internal/exchange/streams.go
@@ -55,10 +55,19 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-b.done:
-		return b.err
+		return copyError(b.err)
 	}
 }
 
+// copyError returns an error that its receiver may change, for one that several requests get.
+func copyError(err error) error {
+	if e, ok := fault.As(err); ok {
+		copied := *e
+		return &copied
+	}
+	return err
+}
+
 // queueRecords adds records to the next call, for which no request waits.
 func (c *Client) queueRecords(records []origin.Record) {
 	c.mu.Lock()
