Entry hosts that reach no backend server have other hosts serve their requests

Cause: an entry host had no way to a server but its own connections, and no way to tell a cut from servers that crashed. Class: a duty that ends with one link although another host has that link.

A body that breaks off, a failed send and a silent server now count as failed contact.

--- a/internal/attempts/attempts.go
+++ b/internal/attempts/attempts.go
@@ -51,6 +51,9 @@
 // LastRun reports whether the current attempt is the last one that may run.
 func (a *Attempts) LastRun() bool { return a.ran+1 >= a.limits.Runs }
 
+// RunsLeft returns the number of further attempts that may run.
+func (a *Attempts) RunsLeft() int { return max(0, a.limits.Runs-a.ran) }
+
 // Next describes a request after a failed attempt.
 type Next struct {
 	// NotRun is true when the attempt has certainly not run. Repeatable is
--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -35,6 +35,9 @@
 	l.addState(req, resp)
 	l.addFleet(req, resp, now)
 	l.addBuilds(resp)
+	if req.GetWantsHelpers() {
+		resp.Helpers = l.helpers(req.GetHost(), req.GetFailureDomain())
+	}
 	resp.Suspects, resp.SuspectParts = l.marks.Suspects(now), l.parts.Suspects(now)
 	for _, q := range c.machine().Quarantined(time.Now().UnixMilli()) {
 		resp.Quarantined = append(resp.Quarantined, &apiv1.Quarantined{
@@ -48,6 +51,7 @@
 // at it.
 func (l *leader) applyReport(req *apiv1.ExchangeRequest, now time.Time) {
 	l.setUsage(l.hosts.record(req.GetHost(), req.GetLoads(), now), now)
+	l.recordHost(req)
 	for _, d := range req.GetDemand() {
 		l.table.RecordArrivals(residency.Ref{Model: d.GetModel(), Adapter: d.GetAdapter()}, int(d.GetArrivals()), now)
 	}
@@ -67,6 +71,7 @@
 			continue
 		}
 		l.setUsage(l.hosts.remove(name), now)
+		delete(l.cutOff, name)
 		l.log.Info().Str("event", "dependency_lost").Str("dependency", "entry_host").Str("entry_host", name).
 			Dur("silent", now.Sub(h.lastSeen)).Msg("entry host is silent")
 	}
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -48,8 +48,10 @@
 	document  *apiv1.PutDocument
 	versions  uint64
 	hosts     *hostUsage
-	limits    *serverlimit.Table
-	streams   *origin.Table
+	// cutOff holds the hosts that reach no backend server.
+	cutOff  map[string]bool
+	limits  *serverlimit.Table
+	streams *origin.Table
 	// buildHistory follows the builds in the list; recordingBuilds is true while a change of them is
 	// being proposed.
 	buildHistory    *origin.History
@@ -74,7 +76,7 @@
 		c: c, term: lease.Term, log: c.log.With().Uint64("term", lease.Term).Logger(), ctx: ctx, cancel: cancel,
 		marks: quarantine.NewTable(quarantine.Options{}), parts: quarantine.NewPartTable(quarantine.PartOptions{}),
 		table: residency.New(residency.Options{}), allocator: quota.NewAllocator(now),
-		hosts: newHostUsage(), limits: serverlimit.NewTable(), jobs: map[jobKey]*job{}, progress: make(chan struct{}),
+		hosts: newHostUsage(), cutOff: map[string]bool{}, limits: serverlimit.NewTable(), jobs: map[jobKey]*job{}, progress: make(chan struct{}),
 		reporting: map[string]bool{}, holders: newHolderTable(),
 		streams: origin.NewTable(c.builds(), now), buildHistory: origin.NewHistory(),
 	}
--- a/internal/coordinator/usage.go
+++ b/internal/coordinator/usage.go
@@ -10,6 +10,11 @@
 // hostReport is the last report of one entry host.
 type hostReport struct {
 	lastSeen time.Time
+	// address is the host's base URL for other hosts; running is the number of its requests, and cutOff
+	// is true while it reaches no backend server.
+	address, domain string
+	running         uint32
+	cutOff          bool
 	// loads holds the host's load on each backend server, by instance.
 	loads map[string]*apiv1.HostLoad
 }
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -33,6 +33,9 @@
 	// takes up to about 2 s, and servers that leave must be known sooner.
 	minListViewAge = 1200 * time.Millisecond
 	listInterval   = time.Second
+	// helperInterval is the time between two reads of the helpers by a host that needs none. A host
+	// that loses its servers and the leader together uses the last ones.
+	helperInterval = 2 * time.Second
 )
 
 // Coordination provides the RPCs of one control host.
@@ -61,6 +64,9 @@
 type Options struct {
 	Host        string
 	Incarnation uint64
+	// Address is this host's base URL for other processes, empty if it serves none.
+	Address       string
+	FailureDomain string
 	// Seeds are the base URLs of control hosts.
 	Seeds   []string
 	Connect func(address string) Coordination
@@ -280,7 +286,7 @@
 	c.update.Unlock()
 	req := &apiv1.ExchangeRequest{
 		Host: c.opts.Host, Incarnation: c.opts.Incarnation, Term: e.term,
-		VersionsEpoch: e.versions, FleetEpoch: e.fleet,
+		VersionsEpoch: e.versions, FleetEpoch: e.fleet, Address: c.opts.Address, FailureDomain: c.opts.FailureDomain,
 	}
 	for _, u := range c.opts.Rates.Report(now) {
 		req.Uses = append(req.Uses, &apiv1.TeamUse{Team: u.Team, Asked: u.Asked, Debt: u.Debt, Fraction: u.Fraction})
@@ -289,6 +295,7 @@
 		req.HasDocument, req.DocumentRevision = true, v.Catalog.Revision
 	}
 	c.opts.Usage.Report(req)
+	req.WantsHelpers = c.opts.Address != "" && (req.GetCutOff() || now.Sub(v.HelpersAt) >= helperInterval)
 	return req
 }
 
@@ -317,6 +324,9 @@
 	v.Quarantined, v.Suspects = decodeQuarantine(resp, now)
 	v.SuspectParts, v.Limits = resp.GetSuspectParts(), decodeLimits(resp, now)
 	v.Builds, v.BuildsKnown, v.WantsStreams = origin.NewBuilds(resp.GetBuilds()), resp.GetBuildsKnown(), resp.GetWantsStreams()
+	if helpers := resp.GetHelpers(); len(helpers) > 0 {
+		v.Helpers, v.HelpersAt = decodeHelpers(helpers), now
+	}
 	v.Confirmed, v.Hosts, v.Term = sent, int(resp.GetHosts()), term
 	c.view.Store(v)
 }
@@ -362,6 +372,14 @@
 	return quarantined, suspects
 }
 
+func decodeHelpers(list []*apiv1.Helper) []Helper {
+	out := make([]Helper, 0, len(list))
+	for _, h := range list {
+		out = append(out, Helper{Host: h.GetHost(), Address: h.GetAddress(), Domain: h.GetFailureDomain(), Running: int(h.GetRunning())})
+	}
+	return out
+}
+
 func decodeLimits(resp *apiv1.ExchangeResponse, now time.Time) map[string]serverlimit.Limit {
 	out := make(map[string]serverlimit.Limit, len(resp.GetLimits()))
 	for _, l := range resp.GetLimits() {
--- a/internal/exchange/view.go
+++ b/internal/exchange/view.go
@@ -48,6 +48,9 @@
 	BuildsKnown bool
 	// WantsStreams is true when the leader needs the records of all streams.
 	WantsStreams bool
+	// Helpers are hosts that serve requests of a host that reaches no backend server, as of HelpersAt.
+	Helpers   []Helper
+	HelpersAt time.Time
 	// Hosts is the number of entry hosts.
 	Hosts int
 	// Term is the leader's term.
@@ -61,6 +64,13 @@
 	Since   time.Time
 }
 
+// Helper is an entry host that reaches backend servers.
+type Helper struct {
+	Host, Address, Domain string
+	// Running is the number of requests that it served at its last exchange.
+	Running int
+}
+
 // Server is one run of a backend server.
 type Server struct {
 	Instance, Service, Address, Domain string
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -58,8 +58,14 @@
 // run makes attempts until one is delivered or no other is allowed.
 func (ar *activeRequest) run(ctx context.Context) error {
 	budget := ar.g.budget(ar.service.Name)
-	budget.RecordFirst()
-	ar.tries = attempts.New(attempts.Limits{Attempts: maxAttempts, Runs: max(ar.route.MaxAttempts, 1), MinRemaining: minRemaining})
+	if !ar.relays() {
+		budget.RecordFirst() // otherwise counted where it is served
+	}
+	runs := max(ar.route.MaxAttempts, 1)
+	if ar.r.Handover != nil {
+		runs = min(runs, max(ar.r.Handover.MaxRuns, 1))
+	}
+	ar.tries = attempts.New(attempts.Limits{Attempts: maxAttempts, Runs: runs, MinRemaining: minRemaining})
 	if ar.r.Generation {
 		ar.g.usage.recordArrival(ar.r.Weights, ar.r.PromptTokens)
 	}
@@ -67,24 +73,21 @@
 	var errResp *errorResponse
 	for {
 		began := ar.g.opts.Now()
-		p, err := ar.placeAttempt(ctx)
-		if err == nil {
-			err = ar.checkQuarantine(ar.g.opts.Fleet.View(), ar.g.opts.Now())
-		}
-		if err == nil {
-			err = ar.recordOrigin(ctx, p, began)
+		try, relayed := ar.attemptLocally, ar.relays()
+		if relayed {
+			try = ar.attemptByRelay
 		}
-		ar.g.metrics.placing.Observe(ar.g.opts.Now().Sub(began))
-		if err != nil {
+		st, made := try(ctx, errResp)
+		if !made {
 			if failure == nil {
-				failure = ar.cause(ctx, err)
+				failure = ar.cause(ctx, st.failure)
 			}
 			break
 		}
-		var outcome attemptOutcome
-		outcome, errResp, failure = ar.attempt(ctx, p, errResp)
+		outcome := st.outcome
+		errResp, failure = st.errResp, st.failure
 		ar.tries.RecordFailure(failure)
-		ar.attemptLog = append(ar.attemptLog, attemptRecord{p.server.Instance, p.server.Build, outcome.String(), ar.g.opts.Now().Sub(began)})
+		ar.attemptLog = append(ar.attemptLog, attemptRecord{st.server, st.build, outcome.String(), ar.g.opts.Now().Sub(began), relayed})
 		ar.g.metrics.attempts.Add(outcome.String(), 1)
 		if outcome == delivered {
 			return nil
@@ -97,6 +100,35 @@
 	return ar.endUndelivered(errResp, failure)
 }
 
+// step is what one attempt led to.
+type step struct {
+	// server is the backend server, or the host that served the request for this one; build is that of
+	// the backend server, if known.
+	server, build string
+	outcome       attemptOutcome
+	errResp       *errorResponse
+	failure       error
+}
+
+// attemptLocally places and makes one attempt. It reports false when there is no place for it.
+func (ar *activeRequest) attemptLocally(ctx context.Context, last *errorResponse) (step, bool) {
+	began := ar.g.opts.Now()
+	p, err := ar.placeAttempt(ctx)
+	if err == nil {
+		err = ar.checkQuarantine(ar.g.opts.Fleet.View(), ar.g.opts.Now())
+	}
+	if err == nil {
+		err = ar.recordOrigin(ctx, p, began)
+	}
+	ar.g.metrics.placing.Observe(ar.g.opts.Now().Sub(began))
+	if err != nil {
+		return step{failure: err}, false
+	}
+	st := step{server: p.server.Instance, build: p.server.Build}
+	st.outcome, st.errResp, st.failure = ar.attempt(ctx, p, last)
+	return st, true
+}
+
 // next describes the request after a failed attempt.
 func (ar *activeRequest) next(outcome attemptOutcome) attempts.Next {
 	repeatable := ar.route.Repeatable
@@ -159,6 +191,13 @@
 		return ar.handleDeclined(p, resp), last, ar.notRunError(resp)
 	}
 	ar.tries.MayHaveRun()
+	return ar.handleResponse(ctx, p, counted, resp, last, now)
+}
+
+// handleResponse relays the response of a server that ran the request. counted is nil for a response that
+// another host relays.
+func (ar *activeRequest) handleResponse(ctx context.Context, p placement, counted *inFlight, resp *Response, last *errorResponse,
+	now time.Time) (attemptOutcome, *errorResponse, error) {
 	if resp.Status >= 300 || !resp.FromBackend {
 		return ar.handleErrorResponse(p, resp, last)
 	}
@@ -220,6 +259,7 @@
 			"send the request again").WithRun(fault.NotRun).After(otherServerRetryAfter)
 	}
 	ar.g.usage.recordUnreachable(p.server.Instance, now)
+	ar.g.recordFailedContact(p.server.Address)
 	if he != nil && he.Timeout || ctx.Err() != nil {
 		ar.g.opts.DropConnections(p.server.Address)
 	} else if sent {
@@ -278,14 +318,16 @@
 func (ar *activeRequest) handleErrorResponse(p placement, resp *Response, last *errorResponse) (attemptOutcome, *errorResponse, error) {
 	body, err := ar.readBody(resp)
 	if err != nil || !resp.FromBackend {
-		ar.g.usage.recordFailure(p.server.Instance, ar.g.opts.Now())
+		if !p.helper {
+			ar.g.usage.recordFailure(p.server.Instance, ar.g.opts.Now())
+		}
 		return incomplete, last, ar.incompleteError(err)
 	}
-	if resp.Status >= 500 {
+	if resp.Status >= 500 && !p.helper {
 		ar.g.usage.recordFailure(p.server.Instance, ar.g.opts.Now())
 	}
 	errResp := &errorResponse{resp.Status, resp.Header, body}
-	if resp.Status < 500 {
+	if resp.Status < 500 || p.helper {
 		return final, errResp, nil
 	}
 	return serverError, errResp, nil
@@ -296,20 +338,31 @@
 		"send the request again if it may be repeated").WithRun(fault.OutcomeUnknown)
 }
 
+// handleLostBody records that a response broke off.
+func (ar *activeRequest) handleLostBody(p placement, err error, now time.Time) {
+	if p.helper {
+		return
+	}
+	ar.g.usage.recordFailure(p.server.Instance, now)
+	ar.g.recordFailedContact(p.server.Address)
+	if !timedOut(err) {
+		ar.checkCrash(p)
+	}
+}
+
 // relayComplete relays a response once its body is complete.
 func (ar *activeRequest) relayComplete(p placement, resp *Response, began time.Time) (attemptOutcome, error) {
 	body, err := ar.readBody(resp)
 	now := ar.g.opts.Now()
 	if err != nil {
-		ar.g.usage.recordFailure(p.server.Instance, now)
-		if !timedOut(err) {
-			ar.checkCrash(p)
-		}
+		ar.handleLostBody(p, err, now)
 		return incomplete, ar.incompleteError(err)
 	}
-	ar.recordProgress(now)
-	ar.g.usage.recordSuccess(p.server.Instance, now)
-	ar.g.usage.recordServiceTime(p.server.Instance, now.Sub(began))
+	if !p.helper {
+		ar.recordProgress(now)
+		ar.g.usage.recordSuccess(p.server.Instance, now)
+		ar.g.usage.recordServiceTime(p.server.Instance, now.Sub(began))
+	}
 	ar.status = resp.Status
 	ar.w.Start(resp.Status, resp.Header, int64(len(body)))
 	if _, err := ar.w.Write(body); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/origin"
 	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 	"github.com/jasminesaddle/jasminesaddle/internal/quota"
+	"github.com/jasminesaddle/jasminesaddle/internal/reach"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
 	"github.com/jasminesaddle/jasminesaddle/internal/retry"
 )
@@ -40,6 +41,8 @@
 	Fleet         Fleet
 	Rates         *quota.Limiter
 	Backend       Backend
+	// Relay serves the requests of a host that reaches no backend server; nil for none.
+	Relay Relay
 	// DropConnections closes the idle connections to a server that stopped
 	// responding.
 	DropConnections func(address string)
@@ -67,6 +70,11 @@
 	// crashChecks are the running checks of whether a server has crashed.
 	crashChecks sync.WaitGroup
 
+	// reach follows whether the host reaches backend servers, and suspected holds a value when it
+	// may not.
+	reach     *reach.Watch
+	suspected chan struct{}
+	relays    relays
 	// requests counts the requests whose streams are recorded.
 	requests atomic.Uint64
 
@@ -83,8 +91,9 @@
 	}
 	return &Gateway{
 		opts: opts, log: opts.Logger, usage: newUsage(), metrics: newMetrics(opts.Meter),
-		answered: quarantine.NewAnsweredParts(),
-		rng:      rand.New(rand.NewPCG(opts.Seed, 0x67617465)), budgets: map[string]*retry.Budget{},
+		answered: quarantine.NewAnsweredParts(), reach: reach.NewWatch(), suspected: make(chan struct{}, 1),
+		relays: relays{inFlight: map[string]int{}},
+		rng:    rand.New(rand.NewPCG(opts.Seed, 0x67617465)), budgets: map[string]*retry.Budget{},
 	}
 }
 
@@ -104,6 +113,7 @@
 func (g *Gateway) Report(req *apiv1.ExchangeRequest) {
 	now := g.opts.Now()
 	g.usage.Report(req, now)
+	req.CutOff, req.Running = g.CutOff(), uint32(g.Running())
 	req.AnsweredParts = g.answered.ReportFor(g.opts.Fleet.View().SuspectParts, req.GetCrashes(), now)
 }
 
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -55,6 +55,15 @@
 	s.consecutiveFailures++
 }
 
+// endBackoffs ends the backoff of all servers, after a time in which none could be reached.
+func (u *usage) endBackoffs() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, s := range u.servers {
+		s.consecutiveFailures, s.backoffUntil = 0, time.Time{}
+	}
+}
+
 // recordBytes records that bytes came from the server.
 func (u *usage) recordBytes(instance string, now time.Time) {
 	u.mu.Lock()
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -26,6 +26,8 @@
 	// the expected time to the first event.
 	tokens   int
 	expected time.Duration
+	// helper is true when the server stands for another entry host that relays the response.
+	helper bool
 }
 
 const (
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -18,7 +18,9 @@
 	"net/http"
 	"time"
 
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/h1"
+	"github.com/jasminesaddle/jasminesaddle/internal/origin"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
 )
 
@@ -57,6 +59,8 @@
 	Body    []byte
 	// Received is when the header of the request had been read.
 	Received time.Time
+	// Handover is set when another host passed the request on.
+	Handover *Handover
 }
 
 // Tokens returns the number of tokens that the request counts against a rate,
@@ -124,6 +128,10 @@
 	// Limit is the number of requests a second that the server takes from all hosts together; 0
 	// when it names none.
 	Limit float64
+	// Refusal is the error of another host that served the request for this one.
+	Refusal *fault.Error
+	// Origin is the service and the build of the backend server, set by such a host.
+	Origin origin.Origin
 	// ActualInstance is the instance that responded instead of the expected
 	// one.
 	ActualInstance string
@@ -149,3 +157,9 @@
 	// complete.
 	Abort()
 }
+
+// OriginResponder is a Responder that also takes what began the response, before its Start.
+type OriginResponder interface {
+	Responder
+	SetOrigin(o origin.Origin)
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -79,6 +79,10 @@
 	recordSent bool
 	// originReason says how the origin of a stream that is taken up was found.
 	originReason origin.Reason
+	// helpers are the hosts that the request was relayed to. unbound is true for a take-up whose origin
+	// only a helper may find, since this host was cut off.
+	helpers map[string]bool
+	unbound bool
 	// pinned is true once the response has begun and cannot be resumed at
 	// another server.
 	pinned atomic.Bool
@@ -94,6 +98,7 @@
 	instance, build string
 	outcome         string
 	took            time.Duration
+	relayed         bool
 }
 
 // Serve serves a request. A returned error means that nothing was sent to the
@@ -101,7 +106,7 @@
 func (g *Gateway) Serve(ctx context.Context, r *Request, w Responder) error {
 	g.addRunning(1)
 	defer g.addRunning(-1)
-	ar := &activeRequest{g: g, r: r, w: w, excluded: map[string]bool{}, missing: map[string]bool{}}
+	ar := &activeRequest{g: g, r: r, w: w, excluded: map[string]bool{}, missing: map[string]bool{}, helpers: map[string]bool{}}
 	defer func() { g.buffers.give(ar.buffered) }()
 	err := ar.serve(ctx)
 	err = ar.tries.FinalError(err)
@@ -135,6 +140,10 @@
 	if err := ar.chooseService(ctx, v, now); err != nil {
 		return err
 	}
+	if ar.r.Handover != nil {
+		// The host that handed the request over has taken its tokens.
+		return ar.run(ctx)
+	}
 	if err := ar.reserve(ctx); err != nil {
 		return err
 	}
@@ -166,6 +175,9 @@
 		ar.deadline = now.Add(ar.r.Timeout)
 	}
 	ar.deadline = ar.deadline.Add(-now.Sub(ar.r.Received) - responseMargin)
+	if h := ar.r.Handover; h != nil {
+		ar.deadline = now.Add(h.Remaining)
+	}
 	if !ar.deadline.After(now) {
 		return fault.New(fault.KindDeadline, "the request's deadline had passed on arrival", "send the request again").WithRun(fault.NotRun)
 	}
@@ -175,9 +187,16 @@
 // chooseService chooses the service: that which began the stream, or one of the route.
 func (ar *activeRequest) chooseService(ctx context.Context, v *exchange.View, now time.Time) error {
 	var err error
-	if ar.takesUp() {
+	switch h := ar.r.Handover; {
+	case h != nil && h.Origin != origin.Origin{}:
+		ar.build.Store(&h.Origin.Build)
+		err = ar.setService(v, h.Origin.Service)
+	case ar.takesUp() && ar.relays():
+		ar.unbound = true
+		err = ar.setService(v, ar.pickService())
+	case ar.takesUp():
 		err = ar.findOrigin(ctx, v)
-	} else {
+	default:
 		err = ar.setService(v, ar.pickService())
 	}
 	if err != nil {
@@ -345,8 +364,14 @@
 	if !ar.firstEventAt.IsZero() {
 		e = e.Dur("first", ar.firstEventAt.Sub(ar.r.Received)).Int("events", ar.events.count)
 	}
+	if ar.r.Handover != nil {
+		e = e.Str("relayed_from", ar.r.Handover.From)
+	}
 	for _, a := range ar.attemptLog {
 		e = e.Str("server", a.instance).Str("build", a.build).Str("attempt", a.outcome).Dur("attempt_took", a.took)
+		if a.relayed {
+			e = e.Bool("relayed", true)
+		}
 	}
 	if err == nil {
 		err = ar.abortErr
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jasminesaddle/jasminesaddle/internal/origin"
 	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 )
 
@@ -26,16 +27,18 @@
 	for {
 		n, err := resp.Body.Read(buf)
 		now := ar.g.opts.Now()
-		if n > 0 {
+		if n > 0 && !p.helper {
 			ar.g.usage.recordBytes(instance, now)
 		}
 		if whole := ar.events.add(buf[:n]); len(whole) > 0 {
 			if first {
 				first = false
-				counted.recordResponseStart()
+				if counted != nil {
+					counted.recordResponseStart()
+				}
 				ar.recordFirstEvent(p, began, now)
 			}
-			if ar.events.count-before >= quarantine.ProgressEvents {
+			if ar.events.count-before >= quarantine.ProgressEvents && !p.helper {
 				ar.recordProgress(now)
 			}
 			ar.build.Store(&p.server.Build)
@@ -45,7 +48,11 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF) && ar.events.atEventEnd() && (ar.events.count > before || !resp.EndsWithConnection):
-			return ar.endStream(resp, instance, now)
+			if !p.helper {
+				ar.recordStreamEnd(resp, instance, now)
+			}
+			ar.start(resp)
+			return delivered, nil
 		case err != nil || ar.events.tooLong():
 			return ar.handleCutStream(ctx, p, err, now)
 		}
@@ -53,7 +60,9 @@
 }
 
 func (ar *activeRequest) recordFirstEvent(p placement, began, now time.Time) {
-	ar.g.usage.recordFirstEvent(p.server.Instance, now.Sub(began), p.expected)
+	if !p.helper {
+		ar.g.usage.recordFirstEvent(p.server.Instance, now.Sub(began), p.expected)
+	}
 	if ar.firstEventAt.IsZero() {
 		ar.firstEventAt = now
 		ar.g.metrics.first.Observe(now.Sub(ar.r.Received))
@@ -79,17 +88,27 @@
 		return
 	}
 	ar.started, ar.status = true, resp.Status
+	if w, ok := ar.w.(OriginResponder); ok {
+		w.SetOrigin(ar.origin())
+	}
 	ar.w.Start(resp.Status, resp.Header, -1)
 }
 
-// endStream completes a response whose last event was relayed.
-func (ar *activeRequest) endStream(resp *Response, instance string, now time.Time) (attemptOutcome, error) {
+// origin returns what began the stream; its build is empty before the first event.
+func (ar *activeRequest) origin() origin.Origin {
+	o := origin.Origin{Service: ar.service.Name}
+	if build := ar.build.Load(); build != nil {
+		o.Build = *build
+	}
+	return o
+}
+
+// recordStreamEnd records a complete response.
+func (ar *activeRequest) recordStreamEnd(resp *Response, instance string, now time.Time) {
 	if !resp.EndsWithConnection {
 		ar.recordProgress(now)
 	}
 	ar.g.usage.recordSuccess(instance, now)
-	ar.start(resp)
-	return delivered, nil
 }
 
 // handleCutStream handles a stream that broke off.
@@ -97,7 +116,11 @@
 	if ctx.Err() != nil && ar.deadlinePassed(ctx) {
 		return final, ar.noResponseError(ctx, true)
 	}
+	if p.helper {
+		return incomplete, ar.incompleteError(err)
+	}
 	ar.g.usage.recordFailure(p.server.Instance, now)
+	ar.g.recordFailedContact(p.server.Address)
 	if ctx.Err() != nil || timedOut(err) {
 		ar.g.usage.recordUnreachable(p.server.Instance, now)
 		ar.g.opts.DropConnections(p.server.Address)
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -19,6 +19,9 @@
 	MaxIdle int
 	// Dial replaces the TCP dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Dialed is called after each attempt to open a connection, unless the request was given up
+	// meanwhile; nil for none.
+	Dialed func(address string, err error)
 }
 
 // Pool holds the connections to all servers. It is safe for concurrent use.
@@ -133,9 +136,12 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
 	defer cancel()
-	c, err := p.opts.Dial(ctx, "tcp", address)
+	c, err := p.opts.Dial(dialCtx, "tcp", address)
+	if p.opts.Dialed != nil && ctx.Err() == nil {
+		p.opts.Dialed(address, err)
+	}
 	if err != nil {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -159,6 +165,16 @@
 	_ = c.Close()
 }
 
+// Reachable reports whether a server accepts a new connection.
+func (p *Pool) Reachable(ctx context.Context, address string) bool {
+	c, err := p.opts.Dial(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
 // Forget closes the idle connections to a server, for example after one
 // stopped responding: the others may have too.
 func (p *Pool) Forget(address string) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -146,6 +146,12 @@
 // HTTPClient returns the HTTP client for calls to other processes.
 func (p *Peer) HTTPClient() connect.HTTPClient { return p.client }
 
+// StreamingClient returns the HTTP client for calls whose responses are streams, which are limited by
+// their contexts only.
+func (p *Peer) StreamingClient() connect.HTTPClient {
+	return &http.Client{Transport: p.client.Transport, CheckRedirect: noRedirect}
+}
+
 // ClientOptions returns the options of RPC clients: they limit message sizes and
 // convert errors to fault.Error.
 func (p *Peer) ClientOptions() []connect.ClientOption {
--- /dev/null
+++ b/internal/relay/handler.go
@@ -0,0 +1,87 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/gateway"
+	"github.com/jasminesaddle/jasminesaddle/internal/origin"
+)
+
+func cutQuery(target string) (path, query string, found bool) { return strings.Cut(target, "?") }
+
+func originOf(s *apiv1.RelayStart) origin.Origin {
+	return origin.Origin{Service: s.GetService(), Build: s.GetBuild()}
+}
+
+// Server serves the requests that other entry hosts relay.
+type Server struct {
+	Gateway *gateway.Gateway
+	Now     func() time.Time
+	// Stopping is true while the host is stopping; it then takes no more requests.
+	Stopping *atomic.Bool
+}
+
+// Relay serves one request.
+func (s *Server) Relay(ctx context.Context, m *apiv1.RelayRequest, stream *connect.ServerStream[apiv1.RelayResponse]) error {
+	if s.Stopping.Load() {
+		return stream.Send(encodeEnd(fault.New(fault.KindUnavailable, "this host is stopping", "send the request to another host").WithRun(fault.NotRun)))
+	}
+	w := &responder{stream: stream}
+	err := s.Gateway.ServeRelayed(ctx, decodeRequest(m, s.Now()), w)
+	switch {
+	case w.failed != nil:
+		return w.failed
+	case w.aborted:
+		err = fault.New(fault.KindBackendFailed, "the response of the backend server is incomplete", "send the request again if it may be repeated").
+			WithRun(fault.OutcomeUnknown)
+	}
+	return stream.Send(encodeEnd(err))
+}
+
+// responder sends a response to the host that relays it. A send blocks while the caller reads slowly.
+type responder struct {
+	stream  *connect.ServerStream[apiv1.RelayResponse]
+	origin  origin.Origin
+	failed  error
+	aborted bool
+}
+
+func (w *responder) send(m *apiv1.RelayResponse) error {
+	if w.failed == nil {
+		w.failed = w.stream.Send(m)
+	}
+	return w.failed
+}
+
+// SetOrigin is called before Start with the service and the build of the backend server.
+func (w *responder) SetOrigin(o origin.Origin) { w.origin = o }
+
+// Start sends the status and header.
+func (w *responder) Start(status int, header http.Header, length int64) {
+	_ = w.send(&apiv1.RelayResponse{Part: &apiv1.RelayResponse_Start{Start: &apiv1.RelayStart{
+		Status: uint32(status), Fields: encodeHeader(header), Length: length, Service: w.origin.Service, Build: w.origin.Build,
+	}}})
+}
+
+func (w *responder) Write(p []byte) (int, error) {
+	if err := w.send(&apiv1.RelayResponse{Part: &apiv1.RelayResponse_Data{Data: p}}); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// Flush does nothing: each message is sent at once.
+func (w *responder) Flush() error { return w.failed }
+
+// Abort has the sender told that the response is incomplete.
+func (w *responder) Abort() { w.aborted = true }
+
+var _ gateway.OriginResponder = (*responder)(nil)
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,220 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/api/v1/apiv1connect"
+	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
+	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/gateway"
+	"github.com/jasminesaddle/jasminesaddle/internal/h1"
+	"github.com/jasminesaddle/jasminesaddle/internal/meter"
+	"github.com/jasminesaddle/jasminesaddle/internal/origin"
+	"github.com/jasminesaddle/jasminesaddle/internal/peer"
+	"github.com/jasminesaddle/jasminesaddle/internal/quota"
+	"github.com/jasminesaddle/jasminesaddle/internal/residency"
+)
+
+// helperHost is a helper with one backend server, which it plays itself.
+type helperHost struct {
+	t        *testing.T
+	view     *exchange.View
+	stopping atomic.Bool
+	// respond is the backend server's response; got is the request and the attempt that it received.
+	respond func(ctx context.Context) (*gateway.Response, error)
+	got     *gateway.Request
+	attempt gateway.Attempt
+	address string
+	client  *Client
+}
+
+func (f *helperHost) View() *exchange.View { return f.view }
+func (f *helperHost) RequestTokens()       {}
+
+func (f *helperHost) Acquire(context.Context, residency.Request) (exchange.Acquired, error) {
+	return exchange.Acquired{}, fault.New(fault.KindNoBackend, "no", "again").WithRun(fault.NotRun)
+}
+
+func (f *helperHost) RecordStream(context.Context, origin.Record, bool) error { return nil }
+
+func (f *helperHost) FindStream(context.Context, *origin.Key, []string) (origin.Answer, error) {
+	return origin.Answer{}, fault.New(fault.KindUnavailable, "no leader", "again").WithRun(fault.NotRun)
+}
+
+func (f *helperHost) Send(ctx context.Context, r *gateway.Request, a gateway.Attempt) (*gateway.Response, error) {
+	f.got, f.attempt = r, a
+	return f.respond(ctx)
+}
+
+func (f *helperHost) Reachable(context.Context, string) bool { return true }
+
+func startHelper(t *testing.T) *helperHost {
+	t.Helper()
+	cat, err := catalog.New(catalog.Catalog{
+		Revision: 1, Services: []catalog.Service{{Name: "s"}},
+		Routes: []catalog.Route{
+			{Name: "plain", Host: "h", Prefix: "/plain/", Timeout: 5 * time.Second, MaxAttempts: 1, Split: []catalog.WeightedService{{Service: "s", Weight: 1}}},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Timeout: 5 * time.Second, MaxAttempts: 1, Streaming: true, Repeatable: true, Resumable: true,
+				Split: []catalog.WeightedService{{Service: "s", Weight: 1}}},
+		},
+		Teams: []catalog.Team{{Name: "red", Keys: []string{"k"}}},
+	})
+	must.NoError(t, err)
+	srv := &exchange.Server{Instance: "i", Service: "s", Address: "x", Build: "v2"}
+	f := &helperHost{t: t, view: &exchange.View{
+		Catalog: cat, Confirmed: time.Now(), Servers: map[string]*exchange.Server{"i": srv}, ByService: map[string][]*exchange.Server{"s": {srv}},
+	}}
+	g := gateway.New(gateway.Options{
+		Fleet: f, Rates: quota.NewLimiter(), Backend: f, DropConnections: func(string) {}, Logger: zerolog.Nop(), Meter: meter.NewSet(""), Now: time.Now,
+	})
+	p, err := peer.New(peer.Options{Cluster: "c", Unauthenticated: true})
+	must.NoError(t, err)
+	mux := http.NewServeMux()
+	mux.Handle(apiv1connect.NewRelayServiceHandler(&Server{Gateway: g, Now: time.Now, Stopping: &f.stopping}, p.HandlerOptions()...))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := p.Server("", mux)
+	go func() { _ = p.Serve(server, l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	f.address = "http://" + l.Addr().String()
+	f.client = NewClient("h9", func(address string) apiv1connect.RelayServiceClient {
+		return apiv1connect.NewRelayServiceClient(p.StreamingClient(), address, p.ClientOptions()...)
+	})
+	return f
+}
+
+func (f *helperHost) relay(path string) (*gateway.Response, error) {
+	r := &gateway.Request{
+		ID: "id", Method: "POST", Target: path, Host: "h", APIKey: "k", Timeout: 3 * time.Second, Body: []byte("body"), AfterEvent: "",
+		Fields: []h1.Field{{Name: "X-A", Value: "1"}, {Name: "X-A", Value: "2"}}, Parts: []gateway.PromptPart{{ID: "p", Tokens: 3}},
+	}
+	return f.client.Send(f.t.Context(), exchange.Helper{Address: f.address}, r, gateway.Handover{Remaining: 2 * time.Second, MaxRuns: 1})
+}
+
+func response(text string, end error) func(context.Context) (*gateway.Response, error) {
+	return func(context.Context) (*gateway.Response, error) {
+		return &gateway.Response{
+			Status: 200, Header: http.Header{"Server-Seal": {"seal"}, "Via": {"a", "b"}}, Length: -1, FromBackend: true,
+			Body: io.NopCloser(io.MultiReader(strings.NewReader(text), errorReader{end})),
+		}, nil
+	}
+}
+
+type errorReader struct{ err error }
+
+func (r errorReader) Read([]byte) (int, error) {
+	if r.err == nil {
+		return 0, io.EOF
+	}
+	return 0, r.err
+}
+
+// Guards against a request or a response that changes on the extra hop.
+func TestRelayChangesNothing(t *testing.T) {
+	f := startHelper(t)
+	for path, text := range map[string]string{"/plain/x?q=1": strings.Repeat("long ", 100_000), "/stream/x": "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"} {
+		f.respond = response(text, nil)
+		resp, err := f.relay(path)
+		must.NoError(t, err)
+		data, err := io.ReadAll(resp.Body)
+		must.NoError(t, err)
+		must.Eq(t, text, string(data))
+		must.Eq(t, 200, resp.Status)
+		must.True(t, resp.FromBackend)
+		must.Eq(t, http.Header{"Server-Seal": {"seal"}, "Via": {"a", "b"}}, resp.Header)
+		must.Eq(t, path, f.got.Target)
+		must.Eq(t, "body", string(f.got.Body))
+		must.Eq(t, []h1.Field{{Name: "X-A", Value: "1"}, {Name: "X-A", Value: "2"}}, f.got.Fields)
+		must.Eq(t, "red", f.attempt.Team)
+		must.Between(t, time.Second, f.attempt.Remaining, 2*time.Second)
+		must.NoError(t, resp.Body.Close())
+	}
+}
+
+// Guards against a response that broke off at the helper and looks complete here.
+func TestBrokenResponseStaysBroken(t *testing.T) {
+	f := startHelper(t)
+	f.respond = response("id: 1\ndata: a\n\n", io.ErrUnexpectedEOF)
+	resp, err := f.relay("/stream/x")
+	must.NoError(t, err)
+	must.Eq(t, origin.Origin{Service: "s", Build: "v2"}, resp.Origin)
+	data, err := io.ReadAll(resp.Body)
+	must.Error(t, err)
+	must.Eq(t, "id: 1\ndata: a\n\n", string(data))
+	f.respond = response("half", io.ErrUnexpectedEOF)
+	resp, err = f.relay("/plain/x")
+	must.NoError(t, err)
+	must.Eq(t, fault.OutcomeUnknown, resp.Refusal.Run)
+}
+
+// Guards against a false "not run", and against one that is withheld.
+func TestRelayTellsWhetherItRan(t *testing.T) {
+	f := startHelper(t)
+	f.respond = func(context.Context) (*gateway.Response, error) { return nil, h1.NewError(true, false, io.EOF) }
+	resp, err := f.relay("/plain/x")
+	must.NoError(t, err)
+	must.Eq(t, fault.OutcomeUnknown, resp.Refusal.Run)
+	f.respond = func(context.Context) (*gateway.Response, error) { return nil, h1.NewError(false, false, io.EOF) }
+	resp, err = f.relay("/plain/x")
+	must.NoError(t, err)
+	must.Eq(t, fault.NotRun, resp.Refusal.Run)
+	f.stopping.Store(true)
+	resp, err = f.relay("/plain/x")
+	must.NoError(t, err)
+	must.Eq(t, fault.NotRun, resp.Refusal.Run)
+	must.Eq(t, fault.KindUnavailable, resp.Refusal.Kind)
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, l.Close())
+	f.address = "http://" + l.Addr().String()
+	_, err = f.relay("/plain/x")
+	var he *h1.Error
+	must.True(t, errors.As(err, &he))
+	must.False(t, he.Sent, must.Sprint("a helper that does not listen may have run the request"))
+}
+
+// Guards against a helper that works on for a caller who has left.
+func TestHelperStopsWithItsSender(t *testing.T) {
+	f := startHelper(t)
+	ended := make(chan struct{})
+	f.respond = func(ctx context.Context) (*gateway.Response, error) {
+		resp, _ := response("id: 1\ndata: a\n\n", nil)(ctx)
+		resp.Body = io.NopCloser(io.MultiReader(strings.NewReader("id: 1\ndata: a\n\n"), waitReader{ctx, ended}))
+		return resp, nil
+	}
+	resp, err := f.relay("/stream/x")
+	must.NoError(t, err)
+	_, err = resp.Body.Read(make([]byte, 64))
+	must.NoError(t, err)
+	_ = resp.Body.Close()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the helper still works")
+	}
+}
+
+// waitReader blocks until its context ends.
+type waitReader struct {
+	ctx   context.Context
+	ended chan struct{}
+}
+
+func (r waitReader) Read([]byte) (int, error) {
+	<-r.ctx.Done()
+	close(r.ended)
+	return 0, r.ctx.Err()
+}
