Hosts share the room of brittle backend servers, and their falls quarantine nobody

What callers would see: backend servers that say that they are brittle fall over one after the other when they are full, and afterwards sound requests are refused as harmful (rule LIMIT).

Cause: no code read Server-Brittle. Each host knew only its own requests, so that all of them raced for the last places, and a fall counted as evidence against each request in flight.

A host without a place refuses at once. After a refusal a host leaves the server alone for a second. A fall of a brittle server is evidence only against a request whose response it had begun.

--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -10,6 +10,7 @@
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
 	"github.com/jasminesaddle/jasminesaddle/internal/origin"
+	"github.com/jasminesaddle/jasminesaddle/internal/places"
 	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 	"github.com/jasminesaddle/jasminesaddle/internal/quota"
 	"github.com/jasminesaddle/jasminesaddle/internal/replica"
@@ -51,6 +52,7 @@
 	// cutOff holds the hosts that reach no backend server.
 	cutOff  map[string]bool
 	limits  *serverlimit.Table
+	brittle *places.Table
 	streams *origin.Table
 	// buildHistory follows the builds in the list; recordingBuilds is true while a change of them is
 	// being proposed.
@@ -78,7 +80,7 @@
 		table: residency.New(residency.Options{}), allocator: quota.NewAllocator(now),
 		hosts: newHostUsage(), cutOff: map[string]bool{}, limits: serverlimit.NewTable(), jobs: map[jobKey]*job{}, progress: make(chan struct{}),
 		reporting: map[string]bool{}, holders: newHolderTable(),
-		streams: origin.NewTable(c.builds(), now), buildHistory: origin.NewHistory(),
+		brittle: places.NewTable(now), streams: origin.NewTable(c.builds(), now), buildHistory: origin.NewHistory(),
 	}
 	l.syncState(now)
 	return l
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -17,6 +17,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/meter"
 	"github.com/jasminesaddle/jasminesaddle/internal/origin"
+	"github.com/jasminesaddle/jasminesaddle/internal/places"
 	"github.com/jasminesaddle/jasminesaddle/internal/quota"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
 	"github.com/jasminesaddle/jasminesaddle/internal/serverlimit"
@@ -322,7 +323,7 @@
 		c.epochs.fleet = resp.GetFleetEpoch()
 	}
 	v.Quarantined, v.Suspects = decodeQuarantine(resp, now)
-	v.SuspectParts, v.Limits = resp.GetSuspectParts(), decodeLimits(resp, now)
+	v.SuspectParts, v.Limits, v.Brittle = resp.GetSuspectParts(), decodeLimits(resp, now), decodeBrittle(resp, now)
 	v.Builds, v.BuildsKnown, v.WantsStreams = origin.NewBuilds(resp.GetBuilds()), resp.GetBuildsKnown(), resp.GetWantsStreams()
 	if helpers := resp.GetHelpers(); len(helpers) > 0 {
 		v.Helpers, v.HelpersAt = decodeHelpers(helpers), now
@@ -372,6 +373,16 @@
 	return quarantined, suspects
 }
 
+func decodeBrittle(resp *apiv1.ExchangeResponse, now time.Time) map[string]BrittleServer {
+	out := make(map[string]BrittleServer, len(resp.GetBrittle()))
+	for _, b := range resp.GetBrittle() {
+		out[b.GetInstance()] = BrittleServer{Places: int(b.GetPlaces()), Fact: places.Fact{
+			Instance: b.GetInstance(), Tolerated: int(b.GetTolerated()), NamedAt: now.Add(-time.Duration(b.GetAgeMs()) * time.Millisecond),
+		}}
+	}
+	return out
+}
+
 func decodeHelpers(list []*apiv1.Helper) []Helper {
 	out := make([]Helper, 0, len(list))
 	for _, h := range list {
--- a/internal/exchange/view.go
+++ b/internal/exchange/view.go
@@ -16,6 +16,7 @@
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
 	"github.com/jasminesaddle/jasminesaddle/internal/origin"
+	"github.com/jasminesaddle/jasminesaddle/internal/places"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
 	"github.com/jasminesaddle/jasminesaddle/internal/serverlimit"
 )
@@ -42,6 +43,8 @@
 	SuspectParts [][]byte
 	// Limits are the limits of backend servers in force, with this host's shares, by instance.
 	Limits map[string]serverlimit.Limit
+	// Brittle holds the servers that are brittle, or were until lately, by instance.
+	Brittle map[string]BrittleServer
 	// Builds are the recorded builds of the services. BuildsKnown is false while the leader's
 	// release does not record them.
 	Builds      origin.Builds
@@ -64,6 +67,12 @@
 	Since   time.Time
 }
 
+// BrittleServer is what the leader knows of a brittle server, with this host's places.
+type BrittleServer struct {
+	Fact   places.Fact
+	Places int
+}
+
 // Helper is an entry host that reaches backend servers.
 type Helper struct {
 	Host, Address, Domain string
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -18,7 +18,8 @@
 
 // checkCrash checks whether a server that broke off a response has crashed,
 // and marks the request if so. Requests to a server that only lost a response
-// are not marked. It waits for the result if the request may be the cause.
+// are not marked, and neither are those at a brittle server, which falls over when it is full, unless
+// it began their response. It waits for the result if the request may be the cause.
 func (ar *activeRequest) checkCrash(p placement) {
 	g, mark, answer := ar.g, ar.crashMark(p), ar.answer
 	verdict := make(chan bool, 1)
@@ -32,10 +33,13 @@
 		}
 		now := g.opts.Now()
 		g.usage.recordUnreachable(p.server.Instance, now)
-		g.usage.recordCrash(mark, now)
+		evidence := answer == quarantine.AnswerStarted || !g.usage.isBrittle(p.server.Instance)
+		if evidence {
+			g.usage.recordCrash(mark, now)
+		}
 		g.metrics.crashes.Add(answer.String(), 1)
 		g.log.Info().Str("event", "crash").Str("request", ar.r.ID).Str("server", p.server.Instance).
-			Hex("fingerprint", mark.GetFingerprint()).Stringer("answer", answer).Strs("prompt_parts", ar.sharedPartIDs()).
+			Hex("fingerprint", mark.GetFingerprint()).Stringer("answer", answer).Strs("prompt_parts", ar.sharedPartIDs()).Bool("evidence", evidence).
 			Msg("backend server crashed with the request in flight")
 	})
 	if answer != quarantine.AnswerStarted || ar.g.answered.All(ar.parts) {
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -55,6 +55,13 @@
 	s.consecutiveFailures++
 }
 
+// isBrittle reports whether the server last said that it is brittle.
+func (u *usage) isBrittle(instance string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.server(instance).places.Brittle()
+}
+
 // endBackoffs ends the backoff of all servers, after a time in which none could be reached.
 func (u *usage) endBackoffs() {
 	u.mu.Lock()
@@ -79,7 +86,8 @@
 }
 
 // recordResponse records the load and the limit that a server reported with its response, if
-// any. Only a success without a limit ends one: a server may refuse without naming it.
+// any, and whether it is brittle. Only a success without a limit ends one: a server may refuse
+// without naming it.
 func (u *usage) recordResponse(instance string, resp *Response, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -91,6 +99,12 @@
 	if resp.Limit > 0 || resp.FromBackend && !resp.NotRun && resp.Status < 300 {
 		s.gate.Name(instance, resp.Limit, now)
 	}
+	if resp.Tolerated > 0 || resp.FromBackend && !resp.NotRun && resp.Status < 300 {
+		s.places.Name(instance, resp.Tolerated, now)
+	}
+	if resp.NotRun && !resp.Misdirected {
+		s.places.Refused(now)
+	}
 }
 
 // takeTurn counts a request against this host's part of the server's limit, and reports whether
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -214,6 +214,12 @@
 		if !su.gate.Open(now, ar.hosts(v)) {
 			continue
 		}
+		if places, ok := v.Brittle[s.Instance]; ok {
+			su.places.Assign(places.Fact, places.Places)
+		}
+		if !su.places.Open(su.inFlight, s.Slots, ar.hosts(v), now) {
+			continue
+		}
 		c := balance.Candidate{
 			Instance: s.Instance, Local: s.Domain == ar.g.opts.FailureDomain, Slots: s.Slots,
 			InFlight: su.inFlight + s.OthersInFlight, PendingTokens: su.pending + s.OthersPendingTokens,
@@ -322,6 +328,11 @@
 		return fault.Newf(fault.KindNoBackend, "send the request again",
 			"no backend server of %s can take the request now", ar.service.Name).WithRun(fault.NotRun).After(noServerRetryAfter)
 	}
+	if d.Best == "" && ar.anyBrittle(eligible) {
+		return fault.Newf(fault.KindOverloaded, "send the request again",
+			"this host has no place at the backend servers of %s, which are brittle", ar.service.Name).
+			WithRun(fault.NotRun).After(noPlaceRetryAfter)
+	}
 	if turnIn := ar.turnIn(v, eligible); d.Best == "" && turnIn > 0 {
 		return fault.Newf(fault.KindOverloaded, "send the request again",
 			"the backend servers of %s take no more requests now: they named limits", ar.service.Name).
@@ -335,6 +346,17 @@
 // limits. Limits end, and other entry hosts may have turns left.
 const maxTurnRetryAfter = 2 * time.Second
 
+// noPlaceRetryAfter is the time after which a host that found no place at brittle servers may have one.
+const noPlaceRetryAfter = 400 * time.Millisecond
+
+// anyBrittle reports whether one of the servers is brittle.
+func (ar *activeRequest) anyBrittle(eligible []string) bool {
+	u := ar.g.usage
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.ContainsFunc(eligible, func(instance string) bool { return u.server(instance).places.Brittle() })
+}
+
 // turnIn returns the time until one of the servers that are at their limits takes a request of this
 // host; 0 when none is at its limit.
 func (ar *activeRequest) turnIn(v *exchange.View, eligible []string) time.Duration {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -132,6 +132,9 @@
 	Refusal *fault.Error
 	// Origin is the service and the build of the backend server, set by such a host.
 	Origin origin.Origin
+	// Tolerated is the number of requests that a brittle server can turn away in a second; 0 when it
+	// does not say that it is brittle.
+	Tolerated int
 	// ActualInstance is the instance that responded instead of the expected
 	// one.
 	ActualInstance string
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -7,6 +7,7 @@
 	"time"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/places"
 	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
 	"github.com/jasminesaddle/jasminesaddle/internal/serverlimit"
@@ -58,6 +59,8 @@
 	used           time.Time
 	// gate holds this host's part of the limit that the server names.
 	gate serverlimit.Gate
+	// places are this host's places at a brittle server.
+	places places.Gate
 }
 
 func newUsage() *usage {
@@ -165,6 +168,12 @@
 				Instance: instance, PerSecond: l.PerSecond, AgeMs: uint32(max(0, now.Sub(l.NamedAt)).Milliseconds()),
 			})
 		}
+		if f, d, ok := s.places.Report(s.inFlight, now); ok {
+			req.Brittle = append(req.Brittle, &apiv1.BrittleServer{
+				Instance: instance, Tolerated: uint32(f.Tolerated), AgeMs: uint32(max(0, now.Sub(f.NamedAt)).Milliseconds()),
+				Places: uint32(d.Held), InFlight: uint32(d.InFlight), Wanted: uint32(d.Wanted), Refusals: uint32(d.Refusals),
+			})
+		}
 	}
 	slices.SortFunc(req.Loads, func(a, b *apiv1.HostLoad) int { return strings.Compare(a.GetInstance(), b.GetInstance()) })
 	u.unconfirmed = unconfirmed{arrivals: u.arrivals}
--- a/internal/residency/table.go
+++ b/internal/residency/table.go
@@ -187,6 +187,14 @@
 // Has reports whether the engine is in the table.
 func (t *Table) Has(instance string) bool { return t.engines[instance] != nil }
 
+// Slots returns the number of requests that an engine runs at once; 0 when it is not in the table.
+func (t *Table) Slots(instance string) int {
+	if e := t.engines[instance]; e != nil {
+		return e.Slots
+	}
+	return 0
+}
+
 // SetLimit sets the number of requests a second that an engine takes from all hosts, 0 for no
 // limit.
 func (t *Table) SetLimit(instance string, perSecond float64) {
