--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,7 +92,7 @@
 	return &Gateway{
 		opts: opts, log: opts.Logger, usage: newUsage(), metrics: newMetrics(opts.Meter),
 		answered: quarantine.NewAnsweredParts(), reach: reach.NewWatch(), suspected: make(chan struct{}, 1),
-		relays: relays{inFlight: map[string]int{}},
+		relays: newRelays(),
 		rng:    rand.New(rand.NewPCG(opts.Seed, 0x67617465)), budgets: map[string]*retry.Budget{},
 	}
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -23,6 +23,9 @@
 	maxRelayed = 400
 	// otherDomainCost is the number of running requests that weighs as much as another failure domain.
 	otherDomainCost = 6
+	// helperPause is how long a helper that took no request, or could not be reached, is not chosen while
+	// there are others.
+	helperPause = time.Second
 	// helperRetryAfter is the time after which another helper is likely to be known.
 	helperRetryAfter = 300 * time.Millisecond
 )
@@ -50,10 +53,16 @@
 type relays struct {
 	mu       sync.Mutex
 	inFlight map[string]int
+	// pausedUntil is when a helper that took no request is chosen again.
+	pausedUntil map[string]time.Time
 	// received is the number of requests that this host serves for others.
 	received int
 }
 
+func newRelays() relays {
+	return relays{inFlight: map[string]int{}, pausedUntil: map[string]time.Time{}}
+}
+
 func (r *relays) add(helper string, n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -62,6 +71,13 @@
 	}
 }
 
+// pause has other helpers chosen for a while.
+func (r *relays) pause(helper string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pausedUntil[helper] = now.Add(helperPause)
+}
+
 // receive counts a request of another host, and reports whether there is room for it.
 func (r *relays) receive() bool {
 	r.mu.Lock()
@@ -81,7 +97,7 @@
 
 // choose returns the helper with the lowest load as far as this host knows it, where a helper in another
 // failure domain counts as busier. The order of equal ones is random, so that hosts that are cut off together spread.
-func (r *relays) choose(helpers []exchange.Helper, domain string, tried map[string]bool) (exchange.Helper, bool) {
+func (r *relays) choose(helpers []exchange.Helper, domain string, tried map[string]bool, now time.Time) (exchange.Helper, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var best exchange.Helper
@@ -92,6 +108,9 @@
 		if h.Domain != domain {
 			cost += otherDomainCost
 		}
+		if now.Before(r.pausedUntil[h.Host]) {
+			cost += maxRelayed
+		}
 		if !tried[h.Host] && (!found || cost < lowest) {
 			best, lowest, found = h, cost, true
 		}
@@ -126,7 +145,7 @@
 // attemptByRelay has another host serve the request, and relays its response.
 func (ar *activeRequest) attemptByRelay(ctx context.Context, last *errorResponse) (step, bool) {
 	v := ar.g.opts.Fleet.View()
-	helper, ok := ar.g.relays.choose(v.Helpers, ar.g.opts.FailureDomain, ar.helpers)
+	helper, ok := ar.g.relays.choose(v.Helpers, ar.g.opts.FailureDomain, ar.helpers, ar.g.opts.Now())
 	if !ok || len(ar.helpers) >= maxHelpers && !ar.started {
 		return step{failure: fault.New(fault.KindNoBackend, "this host reaches no backend server, and no other host serves the request for it",
 			"send the request to another host").WithRun(fault.NotRun).After(helperRetryAfter)}, false
@@ -158,6 +177,9 @@
 		p := placement{server: &exchange.Server{Instance: helper.Host, Service: resp.Origin.Service, Build: resp.Origin.Build}, helper: true}
 		st.outcome, st.errResp, st.failure = ar.handleResponse(ctx, p, nil, resp, last, now)
 	}
+	if st.outcome == notRun {
+		ar.g.relays.pause(helper.Host, ar.g.opts.Now())
+	}
 	return st, true
 }
 
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -168,13 +168,18 @@
 // Guards against hosts that are cut off together and all turn to the same helper, and one that overloads
 // a helper while others are idle.
 func TestRelaysSpread(t *testing.T) {
-	r := relays{inFlight: map[string]int{}}
+	r := newRelays()
+	now := time.Unix(1000, 0)
 	helpers := []exchange.Helper{{Host: "near", Domain: "a", Running: 4}, {Host: "far", Domain: "b", Running: 2}, {Host: "busy", Domain: "a", Running: 40}}
-	chosen, _ := r.choose(helpers, "a", nil)
+	chosen, _ := r.choose(helpers, "a", nil, now)
 	must.Eq(t, "near", chosen.Host)
+	r.pause("near", now)
+	chosen, _ = r.choose(helpers, "a", nil, now)
+	must.Eq(t, "far", chosen.Host, must.Sprint("a helper that took no request is chosen again at once"))
+	now = now.Add(helperPause)
 	count := map[string]int{}
 	for range 60 {
-		h, ok := r.choose(helpers, "a", nil)
+		h, ok := r.choose(helpers, "a", nil, now)
 		must.True(t, ok)
 		count[h.Host]++
 		r.add(h.Host, 1)
@@ -182,13 +187,13 @@
 	must.Positive(t, count["far"])
 	must.Positive(t, count["busy"])
 	must.Greater(t, count["busy"], count["near"])
-	_, ok := r.choose(helpers, "a", map[string]bool{"near": true, "far": true, "busy": true})
+	_, ok := r.choose(helpers, "a", map[string]bool{"near": true, "far": true, "busy": true}, now)
 	must.False(t, ok)
 }
 
 // Guards against a helper whose own callers starve under the requests of others.
 func TestReceivedRequestsAreBounded(t *testing.T) {
-	r := relays{inFlight: map[string]int{}}
+	r := newRelays()
 	for range maxRelayed {
 		must.True(t, r.receive())
 	}
--- a/internal/gateway/takeup_test.go
+++ b/internal/gateway/takeup_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,9 +80,29 @@
 
 // simHost is one run of an entry host.
 type simHost struct {
+	s       *fleetSim
 	ctx     context.Context
 	stop    context.CancelFunc
 	gateway *Gateway
+	// cutOff is true while the host reaches no engine.
+	cutOff atomic.Bool
+}
+
+// Send reaches an engine unless the host is cut off.
+func (h *simHost) Send(ctx context.Context, r *Request, a Attempt) (*Response, error) {
+	if h.cutOff.Load() {
+		time.Sleep(probeTimeout)
+		return nil, h1.NewError(false, true, context.DeadlineExceeded)
+	}
+	return h.s.Send(ctx, r, a)
+}
+
+func (h *simHost) Reachable(ctx context.Context, address string) bool {
+	if h.cutOff.Load() {
+		<-ctx.Done()
+		return false
+	}
+	return h.s.Reachable(ctx, address)
 }
 
 func (s *fleetSim) locked(f func()) {
@@ -294,9 +315,11 @@
 func (s *fleetSim) startHost(i int) {
 	ctx, stop := context.WithCancel(s.ctx)
 	rates := quota.NewLimiter()
-	g := New(Options{Rates: rates, Backend: s, DropConnections: func(string) {}, Logger: zerolog.Nop(), Meter: meter.NewSet(""), Now: time.Now})
+	h := &simHost{s: s, ctx: ctx, stop: stop}
+	name := fmt.Sprint("host", i)
+	g := New(Options{Rates: rates, Backend: h, Relay: simRelay{s}, FailureDomain: fmt.Sprint(i % 3), DropConnections: func(string) {}, Logger: zerolog.Nop(), Meter: meter.NewSet(""), Now: time.Now})
 	client := exchange.New(exchange.Options{
-		Host: fmt.Sprint("host", i), Incarnation: uint64(time.Now().UnixNano()), Seeds: []string{"0", "1", "2"},
+		Host: name, Address: name, FailureDomain: fmt.Sprint(i % 3), Incarnation: uint64(time.Now().UnixNano()), Seeds: []string{"0", "1", "2"},
 		Connect: func(address string) exchange.Coordination {
 			n, _ := strconv.Atoi(address)
 			return simControl{s, n}
@@ -305,8 +328,10 @@
 		Rates:  rates, Usage: g, Lister: s, Interval: 250 * time.Millisecond, Logger: zerolog.Nop(), Meter: meter.NewSet(""), Now: time.Now,
 	})
 	g.SetFleet(client)
+	h.gateway = g
 	s.tasks.Go(func() { _ = client.Run(ctx) })
-	s.locked(func() { s.hosts[i] = &simHost{ctx, stop, g} })
+	s.tasks.Go(func() { _ = g.WatchReach(ctx) })
+	s.locked(func() { s.hosts[i] = h })
 }
 
 // killHosts kills entry hosts, which are back after the time.
@@ -335,8 +360,8 @@
 func (s *fleetSim) anyHost() *simHost {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for range 2 * simHosts {
-		if h := s.hosts[s.rng.IntN(simHosts)]; h != nil {
+	for range 2 * len(s.hosts) {
+		if h := s.hosts[s.rng.IntN(len(s.hosts))]; h != nil {
 			return h
 		}
 	}
@@ -427,6 +452,29 @@
 func playTakeUps(t *testing.T, seed uint64, length time.Duration, scenario func(s *fleetSim)) simCount {
 	t.Helper()
 	var count simCount
+	playFleet(t, seed, simHosts, func(s *fleetSim) {
+		s.tasks.Go(func() { scenario(s) })
+		var calls sync.WaitGroup
+		for began := time.Now(); time.Since(began) < length; {
+			s.pause(simRate)
+			calls.Go(s.call)
+		}
+		calls.Wait()
+		s.locked(func() { count = s.count })
+	})
+	return count
+}
+
+// pause waits until the next of requests that arrive at random.
+func (s *fleetSim) pause(perSecond float64) {
+	pause := 0.0
+	s.locked(func() { pause = s.rng.ExpFloat64() / perSecond })
+	time.Sleep(time.Duration(pause * float64(time.Second)))
+}
+
+// playFleet runs a fleet with six engines for the time of play.
+func playFleet(t *testing.T, seed uint64, hosts int, play func(s *fleetSim)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		cat, err := catalog.New(catalog.Catalog{
 			Revision: 1, Services: []catalog.Service{{Name: llm, Engine: &catalog.Engine{
@@ -438,7 +486,7 @@
 			Teams: []catalog.Team{{Name: "red", Keys: []string{"k"}}},
 		})
 		must.NoError(t, err)
-		s := &fleetSim{cat: cat, machine: state.New(), rng: rand.New(rand.NewPCG(seed, 7)), term: 1, engines: map[string]*simEngine{}, hosts: make([]*simHost, simHosts)}
+		s := &fleetSim{cat: cat, machine: state.New(), rng: rand.New(rand.NewPCG(seed, 7)), term: 1, engines: map[string]*simEngine{}, hosts: make([]*simHost, hosts)}
 		s.ctx, s.stop = context.WithCancel(context.Background())
 		s.startEngines("v1", 6)
 		for i := range simControls {
@@ -452,25 +500,15 @@
 		}
 		_, err = s.controls[0].PutDocument(s.ctx, &apiv1.PutDocument{Revision: 1})
 		must.NoError(t, err)
-		for i := range simHosts {
+		for i := range hosts {
 			s.startHost(i)
 		}
 		time.Sleep(2 * time.Second)
-		s.tasks.Go(func() { scenario(s) })
-		var calls sync.WaitGroup
-		for began := time.Now(); time.Since(began) < length; {
-			pause := 0.0
-			s.locked(func() { pause = s.rng.ExpFloat64() / simRate })
-			time.Sleep(time.Duration(pause * float64(time.Second)))
-			calls.Go(s.call)
-		}
-		calls.Wait()
+		play(s)
 		s.stop()
 		s.tasks.Wait()
-		count = s.count
 		time.Sleep(5 * time.Second) // lets the checks of crashes end
 	})
-	return count
 }
 
 // Guards against streams that hold events of two builds over a caller's attempts, and against take-ups
