--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 )
@@ -144,3 +145,13 @@
 	l.Prune(now.Add(2 * time.Minute))
 	must.SliceEmpty(t, l.All(now))
 }
+
+// BenchmarkRecord measures what a record costs the leader.
+func BenchmarkRecord(b *testing.B) {
+	table := NewTable(Builds{}, now)
+	for i := range b.N {
+		r := Record{Key: KeyOf("team", fmt.Sprint(i)), Origin: Origin{"assistant", "v1.1"}, Request: uint64(i), Sequence: 1, Until: now.Add(time.Second)}
+		table.Record(Host{"host", 1}, []Record{r}, now.Add(time.Duration(i)*time.Millisecond))
+	}
+	b.ReportMetric(float64(proto.Size(record(1, "v1.1", 1<<40, 1).Proto(now))), "wire-B")
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -29,7 +29,7 @@
 
 // helperHost is a helper with one backend server, which it plays itself.
 type helperHost struct {
-	t        *testing.T
+	t        testing.TB
 	view     *exchange.View
 	stopping atomic.Bool
 	// respond is the backend server's response; got is the request and the attempt that it received.
@@ -60,7 +60,7 @@
 
 func (f *helperHost) Reachable(context.Context, string) bool { return true }
 
-func startHelper(t *testing.T) *helperHost {
+func startHelper(t testing.TB) *helperHost {
 	t.Helper()
 	cat, err := catalog.New(catalog.Catalog{
 		Revision: 1, Services: []catalog.Service{{Name: "s"}},
@@ -218,3 +218,19 @@
 	close(r.ended)
 	return 0, r.ctx.Err()
 }
+
+// BenchmarkHop measures what the extra hop costs for a stream of 14 events, sender and helper together.
+func BenchmarkHop(b *testing.B) {
+	f := startHelper(b)
+	events := strings.Repeat("id: 1\ndata: "+strings.Repeat("x", 200)+"\n\n", 14)
+	f.respond = response(events, nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		resp, err := f.relay("/stream/x")
+		must.NoError(b, err)
+		n, err := io.Copy(io.Discard, resp.Body)
+		must.NoError(b, err)
+		must.Eq(b, int64(len(events)), n)
+		_ = resp.Body.Close()
+	}
+}
