Fewer probes: a response that breaks off is no sign of a cut while others arrive

Suspicion arose from any two responses that broke off. Those now count only as long as nothing has come from any server since, and a round of probes begins with two servers.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/h1"
 	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
+	"github.com/jasminesaddle/jasminesaddle/internal/reach"
 )
 
 const (
@@ -187,6 +188,7 @@
 	}
 	defer resp.Body.Close()
 	ar.g.usage.recordResponse(instance, resp, ar.g.opts.Now())
+	ar.g.reach.Contact(ar.g.opts.Now())
 	if resp.NotRun {
 		return ar.handleDeclined(p, resp), last, ar.notRunError(resp)
 	}
@@ -259,7 +261,9 @@
 			"send the request again").WithRun(fault.NotRun).After(otherServerRetryAfter)
 	}
 	ar.g.usage.recordUnreachable(p.server.Instance, now)
-	ar.g.recordFailedContact(p.server.Address)
+	if sent {
+		ar.g.recordFailedContact(p.server.Address, reach.BrokenOff)
+	}
 	if he != nil && he.Timeout || ctx.Err() != nil {
 		ar.g.opts.DropConnections(p.server.Address)
 	} else if sent {
@@ -344,7 +348,7 @@
 		return
 	}
 	ar.g.usage.recordFailure(p.server.Instance, now)
-	ar.g.recordFailedContact(p.server.Address)
+	ar.g.recordFailedContact(p.server.Address, reach.BrokenOff)
 	if !timedOut(err) {
 		ar.checkCrash(p)
 	}
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -6,11 +6,15 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/reach"
 )
 
 const (
-	// probedServers is the number of servers of one round of probes.
+	// probedServers is the number of servers of one round of probes. The others are probed only if none
+	// of the firstProbes accepts.
 	probedServers = 8
+	firstProbes   = 2
 	// probeTimeout limits the time to open a connection.
 	probeTimeout = 400 * time.Millisecond
 )
@@ -24,15 +28,15 @@
 	}
 	for _, s := range g.opts.Fleet.View().Servers {
 		if s.Address == address {
-			g.recordFailedContact(address)
+			g.recordFailedContact(address, reach.NotOpened)
 			return
 		}
 	}
 }
 
 // recordFailedContact records that a server could not be reached, broke off or fell silent.
-func (g *Gateway) recordFailedContact(address string) {
-	if g.reach.Failed(address, len(g.opts.Fleet.View().Servers), g.opts.Now()) {
+func (g *Gateway) recordFailedContact(address string, kind reach.Failure) {
+	if g.reach.Failed(address, kind, len(g.opts.Fleet.View().Servers), g.opts.Now()) {
 		select {
 		case g.suspected <- struct{}{}:
 		default:
@@ -64,26 +68,20 @@
 func (g *Gateway) probe(ctx context.Context) bool {
 	began := g.opts.Now()
 	addresses := g.sampleServers()
-	var reached atomic.Int64
-	var probes sync.WaitGroup
-	for _, address := range addresses {
-		probes.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-			defer cancel()
-			if g.opts.Backend.Reachable(ctx, address) {
-				reached.Add(1)
-			}
-		})
+	tried := min(firstProbes, len(addresses))
+	reached := g.countReachable(ctx, addresses[:tried])
+	if wasCut, _ := g.reach.CutOff(); reached == 0 && !wasCut {
+		reached = g.countReachable(ctx, addresses[tried:])
+		tried = len(addresses)
 	}
-	probes.Wait()
 	if ctx.Err() != nil {
 		return false
 	}
 	_, since := g.reach.CutOff()
 	now := g.opts.Now()
-	cut, changed := g.reach.Probed(len(addresses), int(reached.Load()), now)
-	g.metrics.probes.Add(int64(len(addresses)))
-	e := g.log.Info().Str("dependency", "backend_servers").Int("probed", len(addresses)).Int64("reached", reached.Load()).Dur("took", now.Sub(began))
+	cut, changed := g.reach.Probed(tried, reached, now)
+	g.metrics.probes.Add(int64(tried))
+	e := g.log.Info().Str("dependency", "backend_servers").Int("probed", tried).Int("reached", reached).Dur("took", now.Sub(began))
 	switch {
 	case changed && cut:
 		e.Str("event", "dependency_lost").Int("helpers", len(g.opts.Fleet.View().Helpers)).
@@ -98,6 +96,23 @@
 	return cut
 }
 
+// countReachable returns how many of the servers accept a connection.
+func (g *Gateway) countReachable(ctx context.Context, addresses []string) int {
+	var reached atomic.Int64
+	var probes sync.WaitGroup
+	for _, address := range addresses {
+		probes.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			if g.opts.Backend.Reachable(ctx, address) {
+				reached.Add(1)
+			}
+		})
+	}
+	probes.Wait()
+	return int(reached.Load())
+}
+
 // sampleServers returns the addresses of some servers, chosen at random.
 func (g *Gateway) sampleServers() []string {
 	var out []string
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/jasminesaddle/jasminesaddle/internal/origin"
 	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
+	"github.com/jasminesaddle/jasminesaddle/internal/reach"
 )
 
 // readSize is the size of one read of a stream. An engine produces events of a
@@ -29,6 +30,7 @@
 		now := ar.g.opts.Now()
 		if n > 0 && !p.helper {
 			ar.g.usage.recordBytes(instance, now)
+			ar.g.reach.Contact(now)
 		}
 		if whole := ar.events.add(buf[:n]); len(whole) > 0 {
 			if first {
@@ -120,7 +122,7 @@
 		return incomplete, ar.incompleteError(err)
 	}
 	ar.g.usage.recordFailure(p.server.Instance, now)
-	ar.g.recordFailedContact(p.server.Address)
+	ar.g.recordFailedContact(p.server.Address, reach.BrokenOff)
 	if ctx.Err() != nil || timedOut(err) {
 		ar.g.usage.recordUnreachable(p.server.Instance, now)
 		ar.g.opts.DropConnections(p.server.Address)
--- a/internal/gateway/takeup_test.go
+++ b/internal/gateway/takeup_test.go
@@ -92,6 +92,7 @@
 func (h *simHost) Send(ctx context.Context, r *Request, a Attempt) (*Response, error) {
 	if h.cutOff.Load() {
 		time.Sleep(probeTimeout)
+		h.gateway.ObserveDial(a.Address, context.DeadlineExceeded)
 		return nil, h1.NewError(false, true, context.DeadlineExceeded)
 	}
 	return h.s.Send(ctx, r, a)
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -1,14 +1,26 @@
 // Package reach decides whether an entry host is cut off from all backend servers. Failures alone cannot
 // tell that from servers that crashed; probes of a sample of all servers can.
 //
-// A new connection is the evidence: connections may live on while no new one can be opened.
+// A new connection is the evidence: connections may live on while no new one can be opened. A connection that
+// broke off or fell silent counts only as long as nothing has come from any server since.
 package reach
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
+// Failure is how a server failed.
+type Failure int
+
+const (
+	// NotOpened: a connection could not be opened.
+	NotOpened Failure = iota
+	// BrokenOff: a connection was reset or fell silent.
+	BrokenOff
+)
+
 const (
 	// suspectWindow is how long a failure counts.
 	suspectWindow = 2 * time.Second
@@ -23,26 +35,37 @@
 // Watch follows whether the host reaches backend servers. It is safe for concurrent use.
 type Watch struct {
 	mu sync.Mutex
-	// failedAt holds the last failure of each server since a connection was last opened.
-	failedAt map[string]time.Time
-	cutOff   bool
-	since    time.Time
-	probedAt time.Time
+	// failures holds the last failure of each server since a connection was last opened.
+	failures map[string]failure
+	// contactAt is when something last came from a server, in Unix nanoseconds.
+	contactAt atomic.Int64
+	cutOff    bool
+	since     time.Time
+	probedAt  time.Time
+}
+
+type failure struct {
+	kind Failure
+	at   time.Time
 }
 
 // NewWatch returns a watch of a host that reaches its servers.
-func NewWatch() *Watch { return &Watch{failedAt: map[string]time.Time{}} }
+func NewWatch() *Watch { return &Watch{failures: map[string]failure{}} }
+
+// Contact records that something came from a server.
+func (w *Watch) Contact(now time.Time) { w.contactAt.Store(now.UnixNano()) }
 
-// Failed records that a server could not be reached or fell silent. It reports whether probes are due, where
-// servers is the number of known servers.
-func (w *Watch) Failed(server string, servers int, now time.Time) bool {
+// Failed records a failure of a server. It reports whether probes are due, where servers is the number of
+// known servers.
+func (w *Watch) Failed(server string, kind Failure, servers int, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.failedAt[server] = now
+	w.failures[server] = failure{kind, now}
+	contactAt := w.contactAt.Load()
 	failed := 0
-	for name, at := range w.failedAt {
-		if now.Sub(at) > suspectWindow {
-			delete(w.failedAt, name)
+	for name, f := range w.failures {
+		if now.Sub(f.at) > suspectWindow || f.kind == BrokenOff && f.at.UnixNano() < contactAt {
+			delete(w.failures, name)
 			continue
 		}
 		failed++
@@ -54,7 +77,7 @@
 func (w *Watch) Connected() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	clear(w.failedAt)
+	clear(w.failures)
 }
 
 // Probed records a round of probes, and reports whether the host is cut off now and whether that changed.
@@ -66,7 +89,7 @@
 		return w.cutOff, false
 	}
 	w.cutOff, w.since = !w.cutOff, now
-	clear(w.failedAt)
+	clear(w.failures)
 	return w.cutOff, true
 }
 
