--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,22 +59,23 @@
 // run makes attempts until one is delivered or no other is allowed.
 func (ar *activeRequest) run(ctx context.Context) error {
 	budget := ar.g.budget(ar.service.Name)
-	if !ar.relays() {
-		budget.RecordFirst() // otherwise counted where it is served
-	}
 	runs := max(ar.route.MaxAttempts, 1)
 	if ar.r.Handover != nil {
 		runs = min(runs, max(ar.r.Handover.MaxRuns, 1))
 	}
 	ar.tries = attempts.New(attempts.Limits{Attempts: maxAttempts, Runs: runs, MinRemaining: minRemaining})
-	if ar.r.Generation {
-		ar.g.usage.recordArrival(ar.r.Weights, ar.r.PromptTokens)
+	if !ar.mustRelay() {
+		// A request that is relayed counts where it is served.
+		budget.RecordFirst()
+		if ar.r.Generation {
+			ar.g.usage.recordArrival(ar.r.Weights, ar.r.PromptTokens)
+		}
 	}
 	var failure error
 	var errResp *errorResponse
 	for {
 		began := ar.g.opts.Now()
-		try, relayed := ar.attemptLocally, ar.relays()
+		try, relayed := ar.attemptLocally, ar.mustRelay()
 		if relayed {
 			try = ar.attemptByRelay
 		}
--- /dev/null
+++ b/internal/gateway/fleetsim_test.go
@@ -0,0 +1,408 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
+	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
+	"github.com/jasminesaddle/jasminesaddle/internal/coordinator"
+	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
+	"github.com/jasminesaddle/jasminesaddle/internal/h1"
+	"github.com/jasminesaddle/jasminesaddle/internal/meter"
+	"github.com/jasminesaddle/jasminesaddle/internal/quota"
+	"github.com/jasminesaddle/jasminesaddle/internal/replica"
+	"github.com/jasminesaddle/jasminesaddle/internal/residency"
+	"github.com/jasminesaddle/jasminesaddle/internal/state"
+)
+
+const (
+	streamEvents  = 14
+	eventInterval = 40 * time.Millisecond
+	simHosts      = 6
+	simControls   = 3
+	simRate       = 120 // new streams per second
+	simRoundTrip  = 3 * time.Millisecond
+	// simPatience is how long a caller waits for a stream, over all its attempts.
+	simPatience = 4 * time.Second
+)
+
+// fleetSim is a fleet of entry and control hosts with engines of several builds and callers that take up
+// their streams.
+type fleetSim struct {
+	cat     *catalog.Catalog
+	machine *state.Machine
+	stop    context.CancelFunc
+	ctx     context.Context
+	tasks   sync.WaitGroup
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	index    uint64
+	term     uint64
+	leader   int // index of the leading control host, -1 for none
+	controls []*coordinator.Coordinator
+	hosts    []*simHost
+	engines  map[string]*simEngine
+	attempts int
+	// lossRate is the fraction of calls to control hosts that are lost, half of them after they were
+	// carried out.
+	lossRate float64
+	count    simCount
+}
+
+type simEngine struct {
+	instance, build string
+	draining        bool
+	cut             chan struct{}
+}
+
+// simHost is one run of an entry host.
+type simHost struct {
+	s       *fleetSim
+	ctx     context.Context
+	stop    context.CancelFunc
+	gateway *Gateway
+	// cutOff is true while the host reaches no engine.
+	cutOff atomic.Bool
+}
+
+// Send reaches an engine unless the host is cut off.
+func (h *simHost) Send(ctx context.Context, r *Request, a Attempt) (*Response, error) {
+	if h.cutOff.Load() {
+		time.Sleep(probeTimeout)
+		h.gateway.ObserveDial(a.Address, context.DeadlineExceeded)
+		return nil, h1.NewError(false, true, context.DeadlineExceeded)
+	}
+	return h.s.Send(ctx, r, a)
+}
+
+func (h *simHost) Reachable(ctx context.Context, address string) bool {
+	if h.cutOff.Load() {
+		<-ctx.Done()
+		return false
+	}
+	return h.s.Reachable(ctx, address)
+}
+
+func (s *fleetSim) locked(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// simLog is the replicated log as one control host sees it.
+type simLog struct {
+	s    *fleetSim
+	self int
+}
+
+func (l simLog) Propose(_ context.Context, cmd *apiv1.Command) (any, error) {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	if l.s.leader != l.self {
+		return nil, errors.New("not leading")
+	}
+	l.s.index++
+	return l.s.machine.Apply(l.s.index, cmd), nil
+}
+
+func (l simLog) Barrier(context.Context) error { return nil }
+
+func (l simLog) Lease() replica.Lease {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	return replica.Lease{Term: l.s.term, Held: l.s.leader == l.self, Until: time.Now().Add(time.Second)}
+}
+
+func (l simLog) Leadership() *apiv1.Leadership {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	out := &apiv1.Leadership{Leading: l.s.leader == l.self, Term: l.s.term}
+	if l.s.leader >= 0 {
+		out.Leader = strconv.Itoa(l.s.leader)
+	}
+	return out
+}
+
+func (l simLog) Status() replica.Status {
+	self := &apiv1.Member{Address: strconv.Itoa(l.self), DiskId: strconv.Itoa(l.self), Voter: true}
+	return replica.Status{Self: self, Members: []*apiv1.Member{self}}
+}
+
+func (l simLog) Machine() replica.Machine                    { return l.s.machine }
+func (l simLog) Join(*apiv1.JoinRequest) *apiv1.JoinResponse { return &apiv1.JoinResponse{} }
+
+// Order and Report are not needed: all engines hold the model.
+func (s *fleetSim) Order(context.Context, residency.Order, uint64) residency.Outcome {
+	return residency.Done
+}
+
+func (s *fleetSim) Report(context.Context, string, string) (residency.Report, error) {
+	return residency.Report{}, errors.New("no report")
+}
+
+func (s *fleetSim) Execute(context.Context, *apiv1.ExecuteRequest) (*apiv1.ExecuteResponse, error) {
+	return nil, errors.New("no orders")
+}
+
+func (s *fleetSim) List(context.Context) ([]residency.ListedEngine, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []residency.ListedEngine
+	for _, e := range s.engines {
+		out = append(out, residency.ListedEngine{
+			Instance: e.instance, Service: llm, Address: e.instance, Build: e.build, Slots: 64, Draining: e.draining,
+			Residents: []residency.Resident{{Ref: residency.Ref{Model: "m"}, Version: 1}},
+		})
+	}
+	return out, nil
+}
+
+// simControl carries calls of entry hosts to one control host, over a network that loses some.
+type simControl struct {
+	s    *fleetSim
+	self int
+}
+
+func carry[Req, Resp any](c simControl, call func(context.Context, Req) (Resp, error), ctx context.Context, req Req) (Resp, error) {
+	var none Resp
+	time.Sleep(simRoundTrip / 2)
+	loss := 1.0
+	c.s.locked(func() { loss = c.s.rng.Float64() / max(c.s.lossRate, 1e-9) })
+	if loss < 0.5 {
+		<-ctx.Done()
+		return none, ctx.Err()
+	}
+	resp, err := call(ctx, req)
+	if loss < 1 {
+		<-ctx.Done()
+		return none, ctx.Err()
+	}
+	time.Sleep(simRoundTrip / 2)
+	return resp, err
+}
+
+func (c simControl) coordinator() *coordinator.Coordinator { return c.s.controls[c.self] }
+
+func (c simControl) Exchange(ctx context.Context, r *apiv1.ExchangeRequest) (*apiv1.ExchangeResponse, error) {
+	return carry(c, c.coordinator().Exchange, ctx, r)
+}
+
+func (c simControl) Acquire(ctx context.Context, r *apiv1.AcquireRequest) (*apiv1.AcquireResponse, error) {
+	return carry(c, c.coordinator().Acquire, ctx, r)
+}
+
+func (c simControl) Lend(ctx context.Context, r *apiv1.LendRequest) (*apiv1.LendResponse, error) {
+	return carry(c, c.coordinator().Lend, ctx, r)
+}
+
+func (c simControl) RecordStreams(ctx context.Context, r *apiv1.RecordStreamsRequest) (*apiv1.RecordStreamsResponse, error) {
+	return carry(c, c.coordinator().RecordStreams, ctx, r)
+}
+
+func (c simControl) FindStream(ctx context.Context, r *apiv1.FindStreamRequest) (*apiv1.FindStreamResponse, error) {
+	return carry(c, c.coordinator().FindStream, ctx, r)
+}
+
+// Send streams events that name the engine's build.
+func (s *fleetSim) Send(ctx context.Context, _ *Request, a Attempt) (*Response, error) {
+	s.mu.Lock()
+	e := s.engines[a.Instance]
+	s.mu.Unlock()
+	if e == nil {
+		return nil, h1.NewError(false, false, errReset)
+	}
+	after, _ := strconv.Atoi(a.AfterEvent)
+	return &Response{
+		Status: 200, Header: http.Header{}, Length: -1, FromBackend: true,
+		Body: &simBody{ctx: ctx, engine: e, next: after + 1},
+	}, nil
+}
+
+func (s *fleetSim) Reachable(_ context.Context, address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engines[address] != nil
+}
+
+// simBody is the stream of an engine, which breaks off when the engine goes.
+type simBody struct {
+	ctx    context.Context
+	engine *simEngine
+	next   int
+}
+
+func (b *simBody) Read(p []byte) (int, error) {
+	if b.next > streamEvents {
+		return 0, io.EOF
+	}
+	select {
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	case <-b.engine.cut:
+		return 0, errReset
+	case <-time.After(eventInterval):
+	}
+	n := copy(p, fmt.Sprintf("id: %d\ndata: %s\n\n", b.next, b.engine.build))
+	b.next++
+	return n, nil
+}
+
+func (b *simBody) Close() error { return nil }
+
+// startEngines adds engines of a build.
+func (s *fleetSim) startEngines(build string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for range n {
+		s.attempts++
+		e := &simEngine{instance: fmt.Sprintf("%s-%d", build, s.attempts), build: build, cut: make(chan struct{})}
+		s.engines[e.instance] = e
+	}
+}
+
+// removeEngines drains engines of a build, and ends them after a while.
+func (s *fleetSim) removeEngines(build string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.engines {
+		if n > 0 && e.build == build && !e.draining {
+			n--
+			e.draining = true
+			time.AfterFunc(1500*time.Millisecond, func() {
+				s.locked(func() { delete(s.engines, e.instance) })
+				close(e.cut)
+			})
+		}
+	}
+}
+
+// serving returns the number of engines of a build that take new work.
+func (s *fleetSim) serving(build string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, e := range s.engines {
+		if e.build == build && !e.draining {
+			n++
+		}
+	}
+	return n
+}
+
+// startHost starts an entry host in the place of an earlier one.
+func (s *fleetSim) startHost(i int) {
+	ctx, stop := context.WithCancel(s.ctx)
+	rates := quota.NewLimiter()
+	h := &simHost{s: s, ctx: ctx, stop: stop}
+	name := fmt.Sprint("host", i)
+	g := New(Options{Rates: rates, Backend: h, Relay: simRelay{s}, FailureDomain: fmt.Sprint(i % 3), DropConnections: func(string) {}, Logger: zerolog.Nop(), Meter: meter.NewSet(""), Now: time.Now})
+	client := exchange.New(exchange.Options{
+		Host: name, Address: name, FailureDomain: fmt.Sprint(i % 3), Incarnation: uint64(time.Now().UnixNano()), Seeds: []string{"0", "1", "2"},
+		Connect: func(address string) exchange.Coordination {
+			n, _ := strconv.Atoi(address)
+			return simControl{s, n}
+		},
+		Decode: func(*apiv1.PutDocument) (*catalog.Catalog, error) { return s.cat, nil },
+		Rates:  rates, Usage: g, Lister: s, Interval: 250 * time.Millisecond, Logger: zerolog.Nop(), Meter: meter.NewSet(""), Now: time.Now,
+	})
+	g.SetFleet(client)
+	h.gateway = g
+	s.tasks.Go(func() { _ = client.Run(ctx) })
+	s.tasks.Go(func() { _ = g.WatchReach(ctx) })
+	s.locked(func() { s.hosts[i] = h })
+}
+
+// killHosts kills entry hosts, which are back after the time.
+func (s *fleetSim) killHosts(n int, downtime time.Duration) {
+	for i := range n {
+		s.locked(func() {
+			s.hosts[i].stop()
+			s.hosts[i] = nil
+		})
+	}
+	time.Sleep(downtime)
+	for i := range n {
+		s.startHost(i)
+	}
+}
+
+// changeLeader has another control host lead, after a time without a leader.
+func (s *fleetSim) changeLeader(vacancy time.Duration) {
+	var old int
+	s.locked(func() { old, s.leader = s.leader, -1 })
+	time.Sleep(vacancy)
+	s.locked(func() { s.leader, s.term = (old+1)%simControls, s.term+1 })
+}
+
+// anyHost returns a host that runs, nil if there is none.
+func (s *fleetSim) anyHost() *simHost {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for range 2 * len(s.hosts) {
+		if h := s.hosts[s.rng.IntN(len(s.hosts))]; h != nil {
+			return h
+		}
+	}
+	return nil
+}
+
+// pause waits until the next of requests that arrive at random.
+func (s *fleetSim) pause(perSecond float64) {
+	pause := 0.0
+	s.locked(func() { pause = s.rng.ExpFloat64() / perSecond })
+	time.Sleep(time.Duration(pause * float64(time.Second)))
+}
+
+// playFleet runs a fleet with six engines for the time of play.
+func playFleet(t *testing.T, seed uint64, hosts int, play func(s *fleetSim)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		cat, err := catalog.New(catalog.Catalog{
+			Revision: 1, Services: []catalog.Service{{Name: llm, Engine: &catalog.Engine{
+				AdapterSlots: 4, MemoryMB: 1000, LoadsPerSecond: 3, Models: []catalog.Model{{Name: "m", MB: 500, AdapterMB: 1}}}}},
+			Routes: []catalog.Route{route("stream", func(r *catalog.Route) {
+				r.Streaming, r.Repeatable, r.Resumable = true, true, true
+				r.Split = []catalog.WeightedService{{Service: llm, Weight: 1}}
+			})},
+			Teams: []catalog.Team{{Name: "red", Keys: []string{"k"}}},
+		})
+		must.NoError(t, err)
+		s := &fleetSim{cat: cat, machine: state.New(), rng: rand.New(rand.NewPCG(seed, 7)), term: 1, engines: map[string]*simEngine{}, hosts: make([]*simHost, hosts)}
+		s.ctx, s.stop = context.WithCancel(context.Background())
+		s.startEngines("v1", 6)
+		for i := range simControls {
+			c := coordinator.New(coordinator.Options{
+				Log: simLog{s, i}, Lister: s, Engines: s, Self: strconv.Itoa(i), Connect: func(string) coordinator.OrderSender { return s },
+				Decode:     func(*apiv1.PutDocument) (*catalog.Catalog, error) { return cat, nil },
+				OrderPause: time.Second, ListInterval: 500 * time.Millisecond, Logger: zerolog.Nop(), Meter: meter.NewSet(""), Now: time.Now,
+			})
+			s.controls = append(s.controls, c)
+			s.tasks.Go(func() { _ = c.Run(s.ctx) })
+		}
+		_, err = s.controls[0].PutDocument(s.ctx, &apiv1.PutDocument{Revision: 1})
+		must.NoError(t, err)
+		for i := range hosts {
+			s.startHost(i)
+		}
+		time.Sleep(2 * time.Second)
+		play(s)
+		s.stop()
+		s.tasks.Wait()
+		time.Sleep(5 * time.Second) // lets the checks of crashes end
+	})
+}
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -13,6 +13,10 @@
 // are begun. In an older view the leader is lost, and they would be refused.
 const maxRecordingViewAge = time.Second
 
+// recordMargin is how much longer than the caller says a record is kept: once it is gone, the stream would be
+// taken for one that began at the first build.
+const recordMargin = 30 * time.Second
+
 // takesUp reports whether the request takes up a stream of which its caller has events.
 func (ar *activeRequest) takesUp() bool { return ar.route.Resumable && ar.r.AfterEvent != "" }
 
@@ -90,11 +94,11 @@
 	// A record whose confirmation was lost may be in force, so that another one has to replace it.
 	certain := ar.isCertain(v, o) && !ar.recordSent
 	if ar.record.Sequence == 0 {
-		until := now.Add(origin.Lifetime)
-		if ar.r.Timeout > 0 && ar.r.Timeout < origin.Lifetime {
-			until = now.Add(ar.r.Timeout)
+		lifetime := origin.Lifetime
+		if ar.r.Timeout > 0 {
+			lifetime = min(lifetime, ar.r.Timeout+recordMargin)
 		}
-		ar.record = origin.Record{Key: ar.streamKey(ar.r.ID), Request: ar.g.requests.Add(1), Until: until}
+		ar.record = origin.Record{Key: ar.streamKey(ar.r.ID), Request: ar.g.requests.Add(1), Until: now.Add(lifetime)}
 	}
 	ar.record.Sequence++
 	ar.record.Origin = o
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -133,8 +133,8 @@
 	return g.Serve(ctx, r, w)
 }
 
-// relays reports whether the request is to be served by another host.
-func (ar *activeRequest) relays() bool {
+// mustRelay reports whether the request is to be served by another host.
+func (ar *activeRequest) mustRelay() bool {
 	if ar.r.Handover != nil || ar.g.opts.Relay == nil {
 		return false
 	}
@@ -221,12 +221,17 @@
 }
 
 // handleRefusal handles a helper's own error. Another helper is asked only if this one takes no
-// requests.
+// requests, or has another catalog than this host, which found the route and the team.
 func (ar *activeRequest) handleRefusal(refusal *fault.Error) (attemptOutcome, error) {
 	switch {
 	case refusal.Run != fault.NotRun:
 		ar.tries.MayHaveRun()
 		return final, refusal
+	case refusal.Kind == fault.KindUnknownRoute, refusal.Kind == fault.KindUnauthorized:
+		refusal = fault.Wrap(refusal, fault.KindStaleView, "the host that serves the request for this one has another catalog",
+			"send the request again").WithRun(fault.NotRun).After(helperRetryAfter)
+		ar.retryPrepaid.Store(true)
+		return notRun, refusal
 	case refusal.Kind == fault.KindUnavailable:
 		ar.retryPrepaid.Store(true)
 		return notRun, refusal
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -72,6 +72,7 @@
 		"served":                       {"unsafe", func() (*Response, error) { return ok(), nil }, 1, ""},
 		"helper not reached":           {"unsafe", func() (*Response, error) { return nil, h1.NewError(false, false, errReset) }, 2, ""},
 		"helper takes none":            {"unsafe", func() (*Response, error) { return refusal(fault.KindUnavailable, fault.NotRun), nil }, 2, ""},
+		"helper has another catalog":   {"unsafe", func() (*Response, error) { return refusal(fault.KindUnauthorized, fault.NotRun), nil }, 2, ""},
 		"fleet is full":                {"unsafe", func() (*Response, error) { return refusal(fault.KindOverloaded, fault.NotRun), nil }, 1, fault.NotRun},
 		"unsafe, helper lost":          {"unsafe", func() (*Response, error) { return nil, h1.NewError(true, false, errReset) }, 1, fault.OutcomeUnknown},
 		"unsafe, outcome unknown":      {"unsafe", func() (*Response, error) { return refusal(fault.KindBackendFailed, fault.OutcomeUnknown), nil }, 1, fault.OutcomeUnknown},
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -191,7 +191,7 @@
 	case h != nil && h.Origin != origin.Origin{}:
 		ar.build.Store(&h.Origin.Build)
 		err = ar.setService(v, h.Origin.Service)
-	case ar.takesUp() && ar.relays():
+	case ar.takesUp() && ar.mustRelay():
 		ar.unbound = true
 		err = ar.setService(v, ar.pickService())
 	case ar.takesUp():
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -106,7 +106,7 @@
 func response(text string, end error) func(context.Context) (*gateway.Response, error) {
 	return func(context.Context) (*gateway.Response, error) {
 		return &gateway.Response{
-			Status: 200, Header: http.Header{"Server-Seal": {"seal"}, "Via": {"a", "b"}}, Length: -1, FromBackend: true,
+			Status: 200, Header: http.Header{"X-Mark": {"seal"}, "Via": {"a", "b"}}, Length: -1, FromBackend: true,
 			Body: io.NopCloser(io.MultiReader(strings.NewReader(text), errorReader{end})),
 		}, nil
 	}
@@ -133,7 +133,7 @@
 		must.Eq(t, text, string(data))
 		must.Eq(t, 200, resp.Status)
 		must.True(t, resp.FromBackend)
-		must.Eq(t, http.Header{"Server-Seal": {"seal"}, "Via": {"a", "b"}}, resp.Header)
+		must.Eq(t, http.Header{"X-Mark": {"seal"}, "Via": {"a", "b"}}, resp.Header)
 		must.Eq(t, path, f.got.Target)
 		must.Eq(t, "body", string(f.got.Body))
 		must.Eq(t, []h1.Field{{Name: "X-A", Value: "1"}, {Name: "X-A", Value: "2"}}, f.got.Fields)
