--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -115,6 +115,7 @@
 		l.background(l.readList)
 	}
 	l.readReports(now)
+	l.logDepartures()
 	l.assignHolders(now)
 	if now.Before(l.nextPlan) || l.catalog == nil {
 		return
@@ -230,6 +231,14 @@
 	l.signalProgress()
 }
 
+// logDepartures logs which adapters and models left their engines, and why.
+func (l *leader) logDepartures() {
+	for _, d := range l.table.TakeDepartures() {
+		l.log.Info().Str("event", "resident_left").Str("engine", d.Instance).Str("copy", d.Ref.String()).Str("reason", d.Reason).
+			Dur("age", d.Age).Msg("engine no longer holds it")
+	}
+}
+
 // clearReporting allows the next read of the engine's report.
 func (l *leader) clearReporting(instance string) {
 	l.mu.Lock()
--- a/internal/residency/acquire.go
+++ b/internal/residency/acquire.go
@@ -63,11 +63,12 @@
 	}
 	// Count the request in the engine's backlog until the hosts report it.
 	best.pendingTokens += r.PromptTokens
-	return Choice{Instance: best.Instance, Version: t.newest[r.Ref], Load: true, ReadyIn: t.loadTime(best, r.Ref)}
+	return Choice{Instance: best.Instance, Version: t.newest[r.Ref], Load: true, ReadyIn: t.loadTime(best, r.Ref, t.coldLoadTime(now))}
 }
 
 // applyMissing corrects the table for engines that rejected requests because the
-// adapter is not resident.
+// adapter is not resident. A load that nobody has confirmed takes longer than estimated; otherwise
+// the engine's report decides.
 func (t *Table) applyMissing(r Request, now time.Time) {
 	for _, instance := range r.Missing {
 		e := t.engines[instance]
@@ -75,16 +76,34 @@
 			continue
 		}
 		res := e.residents[r.Ref]
-		if late := res.orderedAt.Add(3 * t.opts.ColdLoad); now.Before(late) {
-			// The load is taking longer than estimated.
-			res.readyAt = maxTime(res.readyAt, minTime(late, now.Add(t.opts.ColdLoad/4)))
-			t.markChanged(e)
+		if res.confirmed {
+			t.doubt(e, res, now)
 			continue
 		}
-		t.drop(e, r.Ref, now)
+		t.observeLate(e, res, now)
 	}
 }
 
+// observeLate postpones the time at which a late load is expected.
+func (t *Table) observeLate(e *Engine, res *resident, now time.Time) {
+	if res.readyAt.After(now) {
+		return
+	}
+	if res.cold {
+		loads := (res.loadsAtOrder + t.coldLoads(now) + 1) / 2
+		t.crowding.observeLate(now.Sub(res.orderedAt), loads, t.maxColdLoads(), t.opts.ColdLoad, now)
+	}
+	res.readyAt = now.Add(t.opts.ColdLoad / lateLoadDivisor)
+	if now.Sub(res.orderedAt) >= overdueLoad {
+		e.checkWanted = true
+	}
+	t.markChanged(e)
+}
+
+// overdueLoad is the time after a load's order from which requests that find it missing have the
+// engine's report read.
+const overdueLoad = time.Second
+
 // usable returns the engines of the service that hold the adapter's model, in the
 // adapter's order of preference.
 func (t *Table) usable(r Request, now time.Time) []*Engine {
@@ -146,7 +165,7 @@
 	var bestIn, bestCost time.Duration
 	for _, e := range engines {
 		res := e.residents[ref]
-		if res == nil || res.unloading || res.version < t.newest[ref] {
+		if res == nil || res.unloading || res.doubted || res.version < t.newest[ref] {
 			continue
 		}
 		in := max(0, res.readyAt.Sub(now))
@@ -160,9 +179,9 @@
 func (t *Table) bestForLoad(engines []*Engine, ref Ref, now time.Time) *Engine {
 	var best *Engine
 	var bestCost time.Duration
-	storeBusy := t.storeBusy(now)
+	storeBusy, cold := t.storeBusy(now), t.coldLoadTime(now)
 	for i, e := range engines {
-		cost := t.loadTime(e, ref) + t.backlog(e) + min(time.Duration(i)*preferenceStep, maxPreferenceCost)
+		cost := t.loadTime(e, ref, cold) + t.backlog(e) + min(time.Duration(i)*preferenceStep, maxPreferenceCost)
 		if best != nil && cost >= bestCost || t.refusal(e, ref, storeBusy, now) != "" {
 			continue
 		}
@@ -179,9 +198,12 @@
 
 // storeBusy reports whether the weight store serves no further load at full speed.
 func (t *Table) storeBusy(now time.Time) bool {
-	return t.coldLoads(now) >= max(t.opts.MaxColdLoads, len(t.engines))
+	return t.coldLoads(now) >= t.maxColdLoads()
 }
 
+// maxColdLoads returns the number of loads from the weight store that are ordered at once.
+func (t *Table) maxColdLoads() int { return max(t.opts.MaxColdLoads, len(t.engines)) }
+
 // refusal returns why the engine cannot load the adapter now, or "" if it can. storeBusy
 // is passed in, because it costs as much as looking at all engines.
 func (t *Table) refusal(e *Engine, ref Ref, storeBusy bool, now time.Time) string {
@@ -193,6 +215,9 @@
 		if res.unloading {
 			return "unloading"
 		}
+		if res.doubted {
+			return "doubted"
+		}
 		return ""
 	}
 	switch {
@@ -200,7 +225,7 @@
 		return "engine_loads"
 	case storeBusy && !slices.Contains(e.cached, ref):
 		return "store_loads"
-	case t.freeSlots(e) <= 0 && t.victim(e, now) == (Ref{}):
+	case t.freeSlots(e, now) <= 0 && t.victim(e, now) == (Ref{}):
 		return "all_in_use"
 	}
 	return ""
@@ -226,20 +251,23 @@
 	n := 0
 	for ref, res := range e.residents {
 		t.examined++
-		if ref.Adapter != "" && res.readyAt.After(now) {
+		if ref.Adapter != "" && res.isLoading(now) {
 			n++
 		}
 	}
 	return n
 }
 
+// isLoading reports whether the engine may still be loading the resident.
+func (res *resident) isLoading(now time.Time) bool { return res.readyAt.After(now) }
+
 // coldLoads returns the number of adapters that are loading from the weight store.
 func (t *Table) coldLoads(now time.Time) int {
 	n := 0
 	for _, e := range t.engines {
 		for _, res := range e.residents {
 			t.examined++
-			if res.cold && res.readyAt.After(now) {
+			if res.cold && res.isLoading(now) {
 				n++
 			}
 		}
@@ -249,7 +277,7 @@
 
 // freeSlots returns the number of slots that are neither occupied nor reserved by a load,
 // limited by the engine's free memory.
-func (t *Table) freeSlots(e *Engine) int {
+func (t *Table) freeSlots(e *Engine, now time.Time) int {
 	s := t.services[e.Service]
 	if s == nil || s.Engine == nil {
 		return 0
@@ -273,7 +301,7 @@
 	if largest > 0 {
 		n = min(n, int(memory/largest))
 	}
-	return n
+	return n - e.reservedSlots(now)
 }
 
 // minResidence is the time after its last use or load during which an adapter is not
@@ -285,23 +313,19 @@
 // takes the least recently used one.
 func (t *Table) victim(e *Engine, now time.Time) Ref {
 	if ref := t.leastRecentlyUsed(e, func(res *resident) bool {
-		return !res.retiredAt.IsZero() && now.Sub(res.retiredAt) >= minRetirement && res.inFlight == 0
+		return !res.retiredAt.IsZero() && res.confirmed && !res.doubted && now.Sub(res.retiredAt) >= minRetirement && res.inFlight == 0
 	}); ref != (Ref{}) {
 		return ref
 	}
 	return t.leastRecentlyUsed(e, func(res *resident) bool { return t.idle(res, now) })
 }
 
-// idle reports whether no request is known to use the adapter or to wait for it.
+// idle reports whether no request is known to use the adapter or to wait for it. An adapter that is still being
+// loaded arrives even if it is unloaded, so that it must be confirmed.
 func (t *Table) idle(res *resident, now time.Time) bool {
-	sure := res.confirmed || now.Sub(res.orderedAt) >= assumedLoadedAfter
-	return sure && res.inFlight == 0 && !res.unloading && !res.readyAt.After(now) && now.Sub(res.lastUse) >= minResidence
+	return res.confirmed && !res.doubted && res.inFlight == 0 && !res.unloading && !res.readyAt.After(now) && now.Sub(res.lastUse) >= minResidence
 }
 
-// assumedLoadedAfter is the time after a load order from which the adapter is assumed to be
-// loaded, even if the weight store is slow.
-const assumedLoadedAfter = 2 * time.Second
-
 // leastRecentlyUsed returns the least recently used adapter that eligible accepts.
 func (t *Table) leastRecentlyUsed(e *Engine, eligible func(*resident) bool) Ref {
 	var victim Ref
@@ -318,12 +342,18 @@
 	return victim
 }
 
-// loadTime estimates how long the engine takes to load the adapter.
-func (t *Table) loadTime(e *Engine, ref Ref) time.Duration {
+// loadTime estimates how long the engine takes to load the adapter, if a load from the weight store takes
+// the time cold.
+func (t *Table) loadTime(e *Engine, ref Ref, cold time.Duration) time.Duration {
 	if slices.Contains(e.cached, ref) {
 		return t.opts.WarmLoad
 	}
-	return t.opts.ColdLoad
+	return cold
+}
+
+// coldLoadTime estimates how long a load from the weight store takes beside those that are running.
+func (t *Table) coldLoadTime(now time.Time) time.Duration {
+	return t.crowding.loadTime(t.coldLoads(now)+1, t.maxColdLoads(), t.opts.ColdLoad, now)
 }
 
 func maxTime(a, b time.Time) time.Time {
--- a/internal/residency/order.go
+++ b/internal/residency/order.go
@@ -76,7 +76,7 @@
 		return Order{}, NextImpossible
 	}
 	o := Order{Instance: instance, Address: e.Address, Ref: ref, Version: newest, Expect: e.sequence}
-	if ref.Adapter != "" && e.residents[ref] == nil && t.freeSlots(e) <= 0 {
+	if ref.Adapter != "" && e.residents[ref] == nil && t.freeSlots(e, now) <= 0 {
 		o.Ref, o.Unload, o.Version = t.victim(e, now), true, 0
 	}
 	e.orderInTransit = true
@@ -111,6 +111,11 @@
 		// The engine may still execute the order while its sequence number is
 		// unchanged. Either it accepts the next order first, which voids this one, or
 		// the next one conflicts.
+		if !o.Unload {
+			e.unresolved = append(slices.DeleteFunc(e.unresolved, func(u unresolvedLoad) bool {
+				return now.Sub(u.at) >= maxOrderAge
+			}), unresolvedLoad{expect: o.Expect, at: now})
+		}
 		t.backOff(e, now)
 	case Conflict:
 		// An engine is busy while an unload waits for running requests, while a model
@@ -119,9 +124,8 @@
 		e.notBefore = now.Add(busyPause)
 		e.sequenceKnown = e.conflicts%conflictsBeforeReport != 0
 	case Rejected:
-		if o.Unload {
-			t.drop(e, o.Ref, now)
-		}
+		// What the engine does not understand changes nothing there.
+		e.sequenceKnown = false
 	}
 }
 
@@ -141,29 +145,36 @@
 	}
 	if o.Unload {
 		if out == Done {
-			t.drop(e, o.Ref, now)
+			t.drop(e, o.Ref, departUnloaded, now)
 			return
 		}
 		if res := e.residents[o.Ref]; res != nil {
+			// It waits for running requests, and the engine's report tells when it has gone.
 			res.unloading, res.orderedAt = true, now
+			e.checkWanted = true
 			t.markChanged(e)
 		}
 		return
 	}
-	ready := now
+	t.markChanged(e)
+	if out == Done {
+		res := e.resident(o.Ref, now)
+		res.version, res.readyAt, res.orderedAt, res.lastUse = o.Version, now, now, now
+		return
+	}
 	warm := slices.Contains(e.cached, o.Ref)
-	if out == Accepted {
-		ready = now.Add(t.orderDuration(e, o))
+	res := &resident{version: o.Version, since: now, readyAt: now.Add(t.orderDuration(e, o, now)), orderedAt: now, lastUse: now}
+	if res.cold = !warm; res.cold {
+		res.loadsAtOrder = t.coldLoads(now) + 1
 	}
 	e.cached = slices.DeleteFunc(e.cached, func(r Ref) bool { return r == o.Ref })
-	e.residents[o.Ref] = &resident{version: o.Version, readyAt: ready, orderedAt: now, lastUse: now, cold: out == Accepted && !warm}
-	t.markChanged(e)
+	e.residents[o.Ref] = res
 }
 
 // orderDuration estimates how long the engine takes to execute a load order.
-func (t *Table) orderDuration(e *Engine, o Order) time.Duration {
+func (t *Table) orderDuration(e *Engine, o Order, now time.Time) time.Duration {
 	if o.Ref.Adapter != "" {
-		return t.loadTime(e, o.Ref)
+		return t.loadTime(e, o.Ref, t.coldLoadTime(now))
 	}
 	if s := t.services[e.Service]; s != nil {
 		if m, ok := s.Model(o.Ref.Model); ok {
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -289,7 +289,7 @@
 		if s == nil || s.Engine == nil || e.Draining {
 			continue
 		}
-		spare := t.freeSlots(e)
+		spare := t.freeSlots(e, now)
 		for _, res := range e.residents {
 			if !res.retiredAt.IsZero() || res.unloading {
 				spare++
--- a/internal/residency/table.go
+++ b/internal/residency/table.go
@@ -6,6 +6,10 @@
 //   - An engine never gets a load order for which it may lack a slot. Each order names
 //     the engine's sequence number, so an order without a response becomes void as
 //     soon as a later one is accepted.
+//   - What the table counts in an engine's slots includes all that the engine held or was loading
+//     at the known sequence number. Only the engine's own word frees a slot: its response to an
+//     unload, its report, or its restart. Neither the time that a load is expected to take, nor a
+//     list that lags, nor a request that found the adapter missing does.
 //   - At most one order at a time is in transit to an engine.
 //   - An adapter with requests in flight from any host is not unloaded.
 package residency
@@ -98,17 +102,66 @@
 	version   uint64
 	readyAt   time.Time
 	orderedAt time.Time
+	// since is when it came into the table.
+	since     time.Time
 	lastUse   time.Time
 	inFlight  int
 	unloading bool
 	// confirmed is true once the engine's report or the platform's list has named it.
 	// A load may take longer than estimated, and an unload before its end has no effect.
-	confirmed bool
+	confirmed   bool
+	confirmedAt time.Time
+	// doubted is true when something says that the engine does not hold it. It keeps its slot, and
+	// hosts do not use it, until the engine's report decides.
+	doubted   bool
+	doubtedAt time.Time
 	// retiredAt is the time since which hosts are told not to use the adapter, so that
 	// no request is in transit to it when it is unloaded; zero while it is in use.
 	retiredAt time.Time
-	// cold is true when the load counts as one from the weight store.
-	cold bool
+	// cold is true when the load counts as one from the weight store, and loadsAtOrder is the
+	// number of such loads at its order.
+	cold         bool
+	loadsAtOrder int
+}
+
+// unresolvedLoad is a load order of which it is not known whether the engine executed it. It names a
+// sequence number, which a restarted engine counts anew.
+type unresolvedLoad struct {
+	expect uint64
+	at     time.Time
+	// earlierStart is true when the engine has restarted under its name since.
+	earlierStart bool
+}
+
+// maxOrderAge is the time after which an order without a response is no longer executed (2 to 12 s are
+// published).
+const maxOrderAge = 15 * time.Second
+
+// carryUnresolved returns the unresolved loads of an engine for its next start.
+func (e *Engine) carryUnresolved(now time.Time) []unresolvedLoad {
+	var out []unresolvedLoad
+	for _, u := range e.unresolved {
+		if now.Sub(u.at) < maxOrderAge {
+			u.earlierStart = true
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// reservedSlots returns the number of slots that unresolved loads may still take although the engine has
+// accepted others since: those ordered before its restart, and those that named a sequence number which it
+// had not reached, as after an unload that was not counted. All others are void by the next order that the
+// engine accepts.
+func (e *Engine) reservedSlots(now time.Time) int {
+	n := 0
+	for _, u := range e.unresolved {
+		pending := u.expect > e.sequence || u.earlierStart && u.expect == e.sequence
+		if pending && now.Sub(u.at) < maxOrderAge {
+			n++
+		}
+	}
+	return n
 }
 
 // Engine is one run of an engine.
@@ -119,6 +172,8 @@
 	Slots       int
 	Draining    bool
 	startUnixMs int64
+	// startedAt is when the table learned of this start.
+	startedAt time.Time
 
 	sequence       uint64
 	sequenceKnown  bool
@@ -132,7 +187,13 @@
 	conflicts int
 	// unanswered counts consecutive orders and report requests without a response.
 	unanswered int
+	// unresolved are the loads without a response, which the engine may still execute.
+	unresolved []unresolvedLoad
 	residents  map[Ref]*resident
+	// checkWanted is true when the engine's report must decide on a resident, and checkedAt is
+	// when its report was last read.
+	checkWanted bool
+	checkedAt   time.Time
 	// cached lists the unloaded adapters whose weights the engine is assumed to have
 	// cached, the oldest first.
 	cached []Ref
@@ -157,8 +218,43 @@
 	epoch    uint64
 	removed  map[string]uint64 // epoch of the removal
 	stores   map[string]*storeLoads
+	crowding crowding
 	// examined counts the engines and residents that decisions have looked at.
 	examined uint64
+	// departures are the residents that left since they were last taken.
+	departures []Departure
+}
+
+// Departure tells why a resident left the table.
+type Departure struct {
+	Instance string
+	Ref      Ref
+	Reason   string
+	// Age is the time since it was ordered or first seen.
+	Age time.Duration
+}
+
+// Reasons of departures.
+const (
+	departUnloaded  = "unloaded"
+	departReport    = "not_in_report"
+	departRestarted = "engine_restarted"
+)
+
+// maxDepartures limits the departures that are kept for the log.
+const maxDepartures = 1000
+
+// TakeDepartures returns the residents that left the table since the last call.
+func (t *Table) TakeDepartures() []Departure {
+	out := t.departures
+	t.departures = nil
+	return out
+}
+
+func (t *Table) recordDeparture(e *Engine, ref Ref, res *resident, reason string, now time.Time) {
+	if len(t.departures) < maxDepartures {
+		t.departures = append(t.departures, Departure{e.Instance, ref, reason, now.Sub(res.since)})
+	}
 }
 
 // storeLoads records the model loads of one service from the weight store.
@@ -224,7 +320,7 @@
 // ObserveList updates the table from the platform's complete list.
 func (t *Table) ObserveList(list []ListedEngine, now time.Time) {
 	seen := map[string]bool{}
-	for _, l := range list {
+	for _, l := range t.distinct(list) {
 		seen[l.Instance] = true
 		t.observe(l, now)
 	}
@@ -237,12 +333,37 @@
 	}
 }
 
+// distinct returns one entry for each instance: of several, the one that fits what the table holds, and else
+// the first.
+func (t *Table) distinct(list []ListedEngine) []ListedEngine {
+	index := make(map[string]int, len(list))
+	out := make([]ListedEngine, 0, len(list))
+	for _, l := range list {
+		i, duplicate := index[l.Instance]
+		switch e := t.engines[l.Instance]; {
+		case !duplicate:
+			index[l.Instance] = len(out)
+			out = append(out, l)
+		case e != nil && e.Address == l.Address && e.Service == l.Service && e.startUnixMs == l.StartUnixMs:
+			out[i] = l
+		}
+	}
+	return out
+}
+
 func (t *Table) observe(l ListedEngine, now time.Time) {
 	e := t.engines[l.Instance]
+	if e != nil && l.StartUnixMs != 0 && l.StartUnixMs < e.startUnixMs && now.Sub(e.startedAt) < maxListLag {
+		return // the list does not show yet that the engine has restarted
+	}
 	if e == nil || e.startUnixMs != l.StartUnixMs || e.Address != l.Address || e.Service != l.Service {
+		var unresolved []unresolvedLoad
+		if e != nil {
+			unresolved = e.carryUnresolved(now)
+		}
 		e = &Engine{
-			Instance: l.Instance, Service: l.Service, Address: l.Address, Domain: l.Domain, startUnixMs: l.StartUnixMs,
-			residents: map[Ref]*resident{}, droppedAt: map[Ref]time.Time{},
+			Instance: l.Instance, Service: l.Service, Address: l.Address, Domain: l.Domain, startUnixMs: l.StartUnixMs, startedAt: now,
+			residents: map[Ref]*resident{}, droppedAt: map[Ref]time.Time{}, unresolved: unresolved,
 		}
 		t.engines[l.Instance] = e
 		delete(t.removed, l.Instance)
@@ -264,13 +385,34 @@
 		t.reconcileResident(e, c, now)
 	}
 	for ref, res := range e.residents {
-		if !seen[ref] && now.Sub(res.orderedAt) >= maxListLag && !res.readyAt.After(now) {
-			t.drop(e, ref, now)
+		if !seen[ref] {
+			t.doubtUnlisted(e, res, now)
 		}
 	}
 	maps.DeleteFunc(e.droppedAt, func(_ Ref, at time.Time) bool { return now.Sub(at) >= maxListLag })
 }
 
+// doubtUnlisted wants the engine's report when a list that must name the resident by now does not.
+func (t *Table) doubtUnlisted(e *Engine, res *resident, now time.Time) {
+	latest := maxTime(maxTime(res.orderedAt, res.confirmedAt), res.readyAt)
+	if now.Sub(latest) < maxListLag {
+		return
+	}
+	e.checkWanted = true
+	if res.confirmed {
+		t.doubt(e, res, now)
+	}
+}
+
+// doubt keeps hosts from using the resident until the engine's report has been read.
+func (t *Table) doubt(e *Engine, res *resident, now time.Time) {
+	e.checkWanted = true
+	if !res.doubted {
+		res.doubted, res.doubtedAt = true, now
+		t.markChanged(e)
+	}
+}
+
 func (t *Table) reconcileResident(e *Engine, c Resident, now time.Time) {
 	res := e.residents[c.Ref]
 	switch {
@@ -278,21 +420,38 @@
 		if at, ok := e.droppedAt[c.Ref]; ok && now.Sub(at) < maxListLag {
 			return
 		}
-		e.residents[c.Ref] = &resident{version: c.Version, lastUse: now, readyAt: now, confirmed: true}
+		e.residents[c.Ref] = &resident{version: c.Version, since: now, lastUse: now, readyAt: now, confirmed: true, confirmedAt: now}
 		t.markChanged(e)
-	case c.Version > res.version, c.Version != res.version && now.Sub(res.orderedAt) >= maxListLag,
-		c.Version == res.version && res.readyAt.After(now):
-		res.version, res.readyAt, res.confirmed = c.Version, minTime(res.readyAt, now), true
+	case c.Version > res.version, c.Version == res.version && res.readyAt.After(now):
+		res.version, res.readyAt = c.Version, minTime(res.readyAt, now)
+		t.confirm(e, res, now)
 		t.markChanged(e)
 	case c.Version == res.version:
-		res.confirmed = true
+		t.confirm(e, res, now)
+	case now.Sub(maxTime(res.orderedAt, res.readyAt)) >= maxListLag:
+		e.checkWanted = true // the replacement of an older version is late
 	}
 }
 
-func (t *Table) drop(e *Engine, ref Ref, now time.Time) {
-	if e.residents[ref] == nil {
+// confirm records that the engine holds the resident.
+func (t *Table) confirm(e *Engine, res *resident, now time.Time) {
+	if res.doubted && now.Sub(res.doubtedAt) < maxListLag {
+		return // the list lags behind what raised the doubt
+	}
+	res.confirmed, res.confirmedAt = true, now
+	if res.doubted {
+		res.doubted = false
+		t.markChanged(e)
+	}
+}
+
+// drop removes a resident that the engine has said to be gone.
+func (t *Table) drop(e *Engine, ref Ref, reason string, now time.Time) {
+	res := e.residents[ref]
+	if res == nil {
 		return
 	}
+	t.recordDeparture(e, ref, res, reason, now)
 	delete(e.residents, ref)
 	e.droppedAt[ref] = now
 	t.markChanged(e)
@@ -317,20 +476,33 @@
 	Loading []Resident
 }
 
-// ObserveReport applies an engine's own report. It must have been requested at least
-// reportDelay after the last order, because reports lag.
+// ObserveReport applies an engine's own report. Reports lag, so one that does not reflect the last
+// order is not used.
 func (t *Table) ObserveReport(instance string, r Report, now time.Time) {
 	e := t.engines[instance]
 	if e == nil || e.orderInTransit {
 		return
 	}
-	if e.startUnixMs != 0 && r.StartUnixMs != 0 && e.startUnixMs != r.StartUnixMs {
+	e.checkedAt, e.unanswered = now, 0
+	restarted := e.startUnixMs != 0 && r.StartUnixMs != 0 && e.startUnixMs != r.StartUnixMs
+	if restarted && r.StartUnixMs < e.startUnixMs && now.Sub(e.startedAt) < maxListLag {
+		return // from before the restart that the list has shown
+	}
+	if e.sequenceKnown && !restarted && r.Sequence < e.sequence && now.Sub(e.lastOrder) < reportDelay {
+		return
+	}
+	if restarted {
 		// The engine has restarted, and the list does not show it yet.
-		e.startUnixMs, e.cached = r.StartUnixMs, nil
-		e.residents, e.droppedAt = map[Ref]*resident{}, map[Ref]time.Time{}
-		t.markChanged(e)
+		for ref, res := range e.residents {
+			t.recordDeparture(e, ref, res, departRestarted, now)
+		}
+		e.cached, e.residents, e.droppedAt, e.startedAt = nil, map[Ref]*resident{}, map[Ref]time.Time{}, now
+		e.unresolved = e.carryUnresolved(now)
 	}
-	e.sequence, e.sequenceKnown, e.unanswered = r.Sequence, true, 0
+	if r.StartUnixMs != 0 {
+		e.startUnixMs = r.StartUnixMs
+	}
+	e.sequence, e.sequenceKnown, e.checkWanted = r.Sequence, true, false
 	if r.Busy {
 		e.notBefore = now.Add(reportedBusyPause)
 	}
@@ -340,27 +512,48 @@
 // replaceResidents replaces the residents by those that the report names. The report
 // reflects every order, including those whose responses were misinterpreted.
 func (t *Table) replaceResidents(e *Engine, r Report, now time.Time) {
-	clear(e.droppedAt)
-	before := e.residents
-	e.residents = map[Ref]*resident{}
+	named := map[Ref]bool{}
 	for _, c := range r.Residents {
-		res := &resident{lastUse: now}
-		if old := before[c.Ref]; old != nil {
-			res = old
-		}
-		res.version, res.readyAt, res.confirmed, res.unloading = c.Version, now, true, false
-		e.residents[c.Ref] = res
+		named[c.Ref] = true
+		res := e.resident(c.Ref, now)
+		// An unload that waits for running requests goes on.
+		res.unloading = res.unloading && (r.Busy || res.inFlight > 0)
+		res.version, res.readyAt, res.confirmed, res.confirmedAt, res.doubted = c.Version, now, true, now, false
 	}
 	for _, c := range r.Loading {
-		res := &resident{version: c.Version, lastUse: now, orderedAt: now, readyAt: now.Add(t.opts.ColdLoad), cold: true}
-		if old := before[c.Ref]; old != nil && old.readyAt.After(now) {
-			res.readyAt = old.readyAt
+		named[c.Ref] = true
+		res := e.resident(c.Ref, now)
+		if !res.readyAt.After(now) {
+			// It came by an order that the table does not know of, or takes longer than estimated.
+			res.readyAt = now.Add(t.opts.ColdLoad / lateLoadDivisor)
+		}
+		if res.orderedAt.IsZero() {
+			res.orderedAt, res.readyAt, res.cold = now, now.Add(t.coldLoadTime(now)), true
+		}
+		res.version, res.confirmed, res.doubted, res.unloading = c.Version, false, false, false
+	}
+	for ref := range e.residents {
+		if !named[ref] {
+			t.drop(e, ref, departReport, now)
 		}
-		e.residents[c.Ref] = res
 	}
 	t.markChanged(e)
 }
 
+// resident returns the entry of a resident, which is added if it is missing.
+func (e *Engine) resident(ref Ref, now time.Time) *resident {
+	res := e.residents[ref]
+	if res == nil {
+		res = &resident{since: now, lastUse: now}
+		e.residents[ref] = res
+	}
+	return res
+}
+
+// lateLoadDivisor divides the time of a load to give the time after which one that is late is
+// tried again.
+const lateLoadDivisor = 4
+
 // reportedBusyPause is how long no order is sent to an engine that reports one in
 // progress, which most likely is an unload that waits for a running request.
 const reportedBusyPause = 150 * time.Millisecond
@@ -368,13 +561,28 @@
 // reportDelay is the time after which an engine's report is sure to reflect an order.
 const reportDelay = 400 * time.Millisecond
 
-// NeedsReport reports whether the engine's sequence number must be read before it can
-// get another order, and a report requested now would reflect the last one.
+// checkInterval is the minimum time between two reports of an engine that are read to decide on
+// its residents. A report costs the engine a request.
+const checkInterval = time.Second
+
+// NeedsReport reports whether the engine's report must be read: because its sequence number is unknown, so
+// that it gets no order, or to decide on residents. A report requested now reflects the last order.
 func (t *Table) NeedsReport(instance string, now time.Time) bool {
 	e := t.engines[instance]
-	return e != nil && !e.sequenceKnown && !e.orderInTransit && now.Sub(e.lastOrder) >= reportDelay && t.isEngine(e)
+	if e == nil || e.orderInTransit || !t.isEngine(e) {
+		return false
+	}
+	sinceOrder := now.Sub(e.lastOrder)
+	if !e.sequenceKnown {
+		return sinceOrder >= reportDelay
+	}
+	return e.checkWanted && sinceOrder >= checkDelay && now.Sub(e.checkedAt) >= checkInterval && !now.Before(e.notBefore)
 }
 
+// checkDelay is the time after which an engine's report most likely reflects an order. One that does
+// not is known by its sequence number.
+const checkDelay = 200 * time.Millisecond
+
 func (t *Table) isEngine(e *Engine) bool {
 	s := t.services[e.Service]
 	return s != nil && s.Engine != nil
@@ -412,12 +620,12 @@
 	ReadyIn time.Duration
 }
 
-// Residents returns the engine's residents that are neither retired nor unloading,
-// sorted by name.
+// Residents returns the engine's residents that hosts may use, sorted by name: those that are neither
+// retired nor unloading nor doubted.
 func (e *Engine) Residents(now time.Time) []ResidentStatus {
 	var out []ResidentStatus
 	for ref, res := range e.residents {
-		if !res.unloading && res.retiredAt.IsZero() {
+		if !res.unloading && !res.doubted && res.retiredAt.IsZero() {
 			out = append(out, ResidentStatus{Resident{ref, res.version}, max(0, res.readyAt.Sub(now))})
 		}
 	}
@@ -473,6 +681,7 @@
 // would look idle.
 func (t *Table) RecordReportFailure(instance string, now time.Time) {
 	if e := t.engines[instance]; e != nil {
+		e.checkedAt = now
 		t.backOff(e, now)
 	}
 }
