--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -49,7 +49,10 @@
 
 // Engines sends orders to engines and reads their reports.
 type Engines interface {
-	Order(ctx context.Context, o residency.Order, fence uint64) residency.Outcome
+	// Order sends an order. It returns its outcome, and how long the engine wants nothing of this host.
+	Order(ctx context.Context, o residency.Order, fence uint64) residency.Result
+	// Report reads an engine's report. The error is a *residency.QuietError if the engine wants nothing of
+	// this host.
 	Report(ctx context.Context, instance, address string) (residency.Report, error)
 }
 
@@ -84,6 +87,7 @@
 	metrics metrics
 
 	cacheHistory cacheHistory
+	quiet        quietEngines
 
 	// tasks counts the running background tasks of all terms.
 	tasks sync.WaitGroup
@@ -96,7 +100,7 @@
 func New(opts Options) *Coordinator {
 	c := &Coordinator{
 		opts: opts, log: opts.Logger, metrics: newMetrics(opts.Meter),
-		cacheHistory: cacheHistory{unloaded: map[string][]residency.Ref{}},
+		cacheHistory: cacheHistory{unloaded: map[string][]residency.Ref{}}, quiet: quietEngines{until: map[string]time.Time{}},
 	}
 	opts.Meter.Gauge("residents_examined", c.leaderGauge(func(l *leader) uint64 { return l.table.Examined() }))
 	opts.Meter.Gauge("loads_examined", c.leaderGauge(func(l *leader) uint64 { return l.hosts.examined }))
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -279,3 +279,24 @@
 	}
 	must.Len(t, maxCachedPerEngine, h.encode()[0].GetAdapters())
 }
+
+// An engine that answers an order or a request for its report with a time for which it wants nothing must get nothing of this
+// host for that time, not even under another term, and must be used after it.
+func TestQuietEngineIsLeftAlone(t *testing.T) {
+	start(t, func(t *testing.T, c *Coordinator, log *fakeLog, f *fleet) {
+		const quiet = 5 * time.Second
+		began := time.Now()
+		f.askForQuiet(quiet)
+		for i := range 20 {
+			acquire(c, fmt.Sprint("a", i))
+			time.Sleep(100 * time.Millisecond)
+		}
+		log.set(func(l *fakeLog) { l.term = 2 }) // the next leader reads all reports
+		time.Sleep(2 * time.Second)
+		for instance, asked := range f.askedBetween(began, began.Add(quiet-time.Second)) {
+			must.LessEq(t, 2, asked, must.Sprint(instance, " was asked while it wants nothing of this host"))
+		}
+		time.Sleep(2 * time.Second)
+		must.NotEq(t, "", acquire(c, "later").GetInstance(), must.Sprint("engines are shunned after their time"))
+	})
+}
--- a/internal/coordinator/fakes_test.go
+++ b/internal/coordinator/fakes_test.go
@@ -89,6 +89,42 @@
 	seq    map[string]uint64
 	down   map[string]bool
 	c      *Coordinator
+	// quietUntil is when engines take orders and requests for reports of this host again, and asked
+	// are the times at which they got some.
+	quietUntil time.Time
+	asked      map[string][]time.Time
+}
+
+// askForQuiet has all engines want nothing of this host for a while.
+func (f *fleet) askForQuiet(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.quietUntil, f.asked = time.Now().Add(d), map[string][]time.Time{}
+}
+
+// quietLeft counts a request of this host to an engine, and returns how long the engine wants nothing.
+func (f *fleet) quietLeft(instance string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.asked != nil {
+		f.asked[instance] = append(f.asked[instance], time.Now())
+	}
+	return max(0, time.Until(f.quietUntil))
+}
+
+// askedBetween returns how often each engine was asked.
+func (f *fleet) askedBetween(from, to time.Time) map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[string]int{}
+	for instance, times := range f.asked {
+		for _, at := range times {
+			if at.After(from) && at.Before(to) {
+				out[instance]++
+			}
+		}
+	}
+	return out
 }
 
 func (f *fleet) receive(holder string, o residency.Order, fence uint64) residency.Outcome {
@@ -105,11 +141,17 @@
 	return residency.Accepted
 }
 
-func (f *fleet) Order(_ context.Context, o residency.Order, fence uint64) residency.Outcome {
-	return f.receive("self", o, fence)
+func (f *fleet) Order(_ context.Context, o residency.Order, fence uint64) residency.Result {
+	if left := f.quietLeft(o.Instance); left > 0 {
+		return residency.Result{Outcome: residency.Conflict, Quiet: left}
+	}
+	return residency.Result{Outcome: f.receive("self", o, fence)}
 }
 
 func (f *fleet) Report(_ context.Context, instance, _ string) (residency.Report, error) {
+	if left := f.quietLeft(instance); left > 0 {
+		return residency.Report{}, &residency.QuietError{For: left}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return residency.Report{Sequence: f.seq[instance], Residents: []residency.Resident{{Ref: residency.Ref{Model: "m"}, Version: 1}}}, nil
--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -53,6 +53,12 @@
 func (l *leader) applyReport(req *apiv1.ExchangeRequest, now time.Time) {
 	l.setUsage(l.hosts.record(req.GetHost(), req.GetLoads(), now), now)
 	l.recordHost(req)
+	for _, s := range req.GetLeaving() {
+		if l.table.SetLeaving(s.GetInstance(), s.GetStartUnixMs()) {
+			l.log.Info().Str("event", "server_leaving").Str("server", s.GetInstance()).Str("entry_host", req.GetHost()).
+				Msg("backend server has said that it leaves")
+		}
+	}
 	for _, d := range req.GetDemand() {
 		l.table.RecordArrivals(residency.Ref{Model: d.GetModel(), Adapter: d.GetAdapter()}, int(d.GetArrivals()), now)
 	}
@@ -124,6 +130,7 @@
 	out := &apiv1.FleetServer{
 		Instance: e.Instance, Service: e.Service, Address: e.Address, FailureDomain: e.Domain,
 		Slots: uint32(e.Slots), Draining: e.Draining, Build: e.Build,
+		StartUnixMs: e.StartUnixMs(),
 	}
 	for _, h := range e.Residents(now) {
 		out.Held = append(out.Held, &apiv1.HeldAdapter{
--- a/internal/coordinator/holder.go
+++ b/internal/coordinator/holder.go
@@ -232,7 +232,7 @@
 }
 
 // execute sends an order through the engine's holder.
-func (l *leader) execute(ctx context.Context, h *apiv1.EngineHolder, o residency.Order) residency.Outcome {
+func (l *leader) execute(ctx context.Context, h *apiv1.EngineHolder, o residency.Order) residency.Result {
 	if h.GetHolder() == l.c.opts.Self {
 		l.mu.Lock()
 		l.holders.host(h.GetHolder()).lastOrderEnd = l.c.opts.Now().Add(orderTimeout)
@@ -248,7 +248,7 @@
 	l.mu.Unlock()
 	if !hasClock {
 		l.probe(h.GetHolder())
-		return residency.Conflict
+		return residency.Result{Outcome: residency.Conflict}
 	}
 	resp, err := l.call(ctx, h.GetHolder(), &apiv1.ExecuteRequest{
 		Term: l.term, BeforeNs: l.c.opts.Now().Add(clockOffset + maxOrderDelay).UnixNano(), Fence: h.GetFence(),
@@ -257,11 +257,13 @@
 	})
 	switch {
 	case err != nil:
-		return residency.Unknown
+		return residency.Result{Outcome: residency.Unknown}
 	case !resp.GetGiven():
-		return residency.Conflict
+		return residency.Result{Outcome: residency.Conflict}
+	}
+	return residency.Result{
+		Outcome: residency.Outcome(resp.GetOutcome()), Quiet: time.Duration(resp.GetQuietMs()) * time.Millisecond,
 	}
-	return residency.Outcome(resp.GetOutcome())
 }
 
 // probe asks a holder for its clock.
@@ -324,16 +326,22 @@
 		Ref:     residency.Ref{Model: req.GetModel(), Adapter: req.GetAdapter()},
 		Version: req.GetVersion(), Expect: req.GetExpect(),
 	}
-	resp.Outcome, resp.Given = uint32(c.send(ctx, o, req.GetFence())), true
+	result := c.send(ctx, o, req.GetFence())
+	resp.Outcome, resp.Given, resp.QuietMs = uint32(result.Outcome), true, uint32(result.Quiet.Milliseconds())
 	resp.NowNs = c.opts.Now().UnixNano()
 	return resp, nil
 }
 
-// send sends an order to its engine and records what the engine then has cached.
-func (c *Coordinator) send(ctx context.Context, o residency.Order, fence uint64) residency.Outcome {
+// send sends an order to its engine and records what the engine then has cached. It sends nothing to an engine
+// that wants nothing of this host.
+func (c *Coordinator) send(ctx context.Context, o residency.Order, fence uint64) residency.Result {
+	if left := c.quiet.left(o.Instance, c.opts.Now()); left > 0 {
+		return residency.Result{Outcome: residency.Conflict, Quiet: left}
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	outcome := c.opts.Engines.Order(ctx, o, fence)
-	c.cacheHistory.record(o, outcome)
-	return outcome
+	result := c.opts.Engines.Order(ctx, o, fence)
+	c.quiet.record(o.Instance, result.Quiet, c.opts.Now())
+	c.cacheHistory.record(o, result.Outcome)
+	return result
 }
--- a/internal/coordinator/job.go
+++ b/internal/coordinator/job.go
@@ -90,23 +90,24 @@
 // outcome.
 func (l *leader) order(ctx context.Context, o residency.Order, reason string) {
 	began := l.c.opts.Now()
-	outcome := residency.Conflict
+	result := residency.Result{Outcome: residency.Conflict}
 	l.mu.Lock()
 	h, ready := l.holderOf(o.Instance)
 	l.mu.Unlock()
 	lease := l.c.opts.Log.Lease()
 	if ready && lease.Held && lease.Term == l.term {
-		outcome = l.execute(ctx, h, o)
+		result = l.execute(ctx, h, o)
 	}
 	now := l.c.opts.Now()
 	l.mu.Lock()
-	l.table.RecordOutcome(o, outcome, now)
+	l.table.RecordOutcome(o, result.Outcome, now)
+	l.table.SetQuiet(o.Instance, result.Quiet, now)
 	l.signalProgress()
 	l.mu.Unlock()
-	l.c.metrics.order(outcome)
+	l.c.metrics.order(result.Outcome)
 	l.log.Info().Str("event", "order").Str("engine", o.Instance).Str("copy", o.Ref.String()).Bool("unload", o.Unload).
 		Uint64("version", o.Version).Uint64("expect", o.Expect).Str("holder", h.GetHolder()).Uint64("fence", h.GetFence()).
-		Str("outcome", outcome.String()).Str("reason", reason).Dur("took", now.Sub(began)).Msg("order answered")
+		Str("outcome", result.Outcome.String()).Str("reason", reason).Dur("took", now.Sub(began)).Msg("order answered")
 }
 
 // wait returns on the signal, after the limit or when the context ends.
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
@@ -202,6 +203,10 @@
 		if l.reporting[e.Instance] || !l.table.NeedsReport(e.Instance, now) {
 			continue
 		}
+		if left := l.c.quiet.left(e.Instance, now); left > 0 {
+			l.table.SetQuiet(e.Instance, left, now)
+			continue
+		}
 		l.reporting[e.Instance] = true
 		l.background(func() { l.readReport(e.Instance, e.Address) })
 	}
@@ -219,6 +224,11 @@
 		if l.ctx.Err() == nil {
 			l.log.Warn().Err(err).Str("event", "report_not_read").Str("engine", instance).Msg("report not read; the engine gets no orders until it is")
 		}
+		var quiet *residency.QuietError
+		if errors.As(err, &quiet) {
+			l.c.quiet.record(instance, quiet.For, now)
+			l.table.SetQuiet(instance, quiet.For, now)
+		}
 		l.table.RecordReportFailure(instance, now)
 		// The next attempt starts after reportTimeout.
 		time.AfterFunc(reportTimeout, func() { l.clearReporting(instance) })
@@ -259,6 +269,7 @@
 	var desired []residency.DesiredResident
 	desired = append(desired, l.table.Models(now)...)
 	desired = append(desired, l.table.Outdated(now)...)
+	desired = append(desired, l.table.Moves(now)...)
 	for _, s := range l.catalog.Services {
 		if s.Engine != nil {
 			desired = append(desired, l.table.Replicas(s.Name, now)...)
--- a/internal/exchange/view.go
+++ b/internal/exchange/view.go
@@ -87,6 +87,8 @@
 	Build    string
 	Slots    int
 	Draining bool
+	// StartUnixMs is the start of this run in Unix milliseconds, 0 if unknown.
+	StartUnixMs int64
 	// Residents holds the models and adapters of an engine.
 	Residents map[residency.Ref]Resident
 	// OthersInFlight and OthersPendingTokens are the requests in flight and the pending tokens
@@ -159,7 +161,7 @@
 	s := &Server{
 		Instance: server.GetInstance(), Service: server.GetService(), Address: server.GetAddress(),
 		Domain: server.GetFailureDomain(), Slots: int(server.GetSlots()), Draining: server.GetDraining(), Build: server.GetBuild(),
-		Residents: map[residency.Ref]Resident{},
+		StartUnixMs: server.GetStartUnixMs(), Residents: map[residency.Ref]Resident{},
 	}
 	for _, h := range server.GetHeld() {
 		ref := residency.Ref{Model: h.GetModel(), Adapter: h.GetAdapter()}
@@ -176,13 +178,15 @@
 		old := v.Servers[l.Instance]
 		if old != nil && old.Address == l.Address && old.Service == l.Service {
 			next := *old
-			next.Draining, next.Build = l.Draining, l.Build
+			// Within one start, a server does not stop leaving; hosts may know of it before the list does.
+			next.Draining = l.Draining || old.Draining && !startedSince(l, old)
+			next.Build, next.StartUnixMs = l.Build, max(old.StartUnixMs, l.StartUnixMs)
 			servers[l.Instance] = &next
 			continue
 		}
 		s := &Server{
 			Instance: l.Instance, Service: l.Service, Address: l.Address, Domain: l.Domain,
-			Build: l.Build, Slots: l.Slots, Draining: l.Draining, Residents: map[residency.Ref]Resident{},
+			Build: l.Build, Slots: l.Slots, Draining: l.Draining, StartUnixMs: l.StartUnixMs, Residents: map[residency.Ref]Resident{},
 		}
 		for _, c := range l.Residents {
 			s.Residents[c.Ref] = Resident{c.Version, now}
@@ -192,6 +196,11 @@
 	v.setServers(servers)
 }
 
+// startedSince reports whether the listed server is a later start than the known one.
+func startedSince(l residency.ListedEngine, old *Server) bool {
+	return old.StartUnixMs != 0 && l.StartUnixMs > old.StartUnixMs
+}
+
 // withResident returns a view in which the engine has the resident.
 func (v *View) withResident(instance string, ref residency.Ref, r Resident) *View {
 	old := v.Servers[instance]
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -51,9 +51,10 @@
 // errorResponse is a server's error response, which is passed on when no
 // attempt succeeds.
 type errorResponse struct {
-	status int
-	header http.Header
-	body   []byte
+	status  int
+	header  http.Header
+	body    []byte
+	leaving *LeavingServer
 }
 
 // run makes attempts until one is delivered or no other is allowed.
@@ -152,7 +153,7 @@
 		return nil
 	case errResp != nil:
 		ar.status = errResp.status
-		ar.w.Start(errResp.status, errResp.header, int64(len(errResp.body)))
+		ar.startResponse(errResp.status, errResp.header, int64(len(errResp.body)), errResp.leaving)
 		_, _ = ar.w.Write(errResp.body)
 		return nil
 	case failure == nil:
@@ -188,7 +189,9 @@
 		return outcome, last, err
 	}
 	defer resp.Body.Close()
-	ar.g.usage.recordResponse(instance, resp, ar.g.opts.Now())
+	if ar.g.usage.recordResponse(p.server, resp, ar.g.opts.Now()) {
+		ar.g.log.Info().Str("event", "server_leaving").Str("server", instance).Str("request", ar.r.ID).Msg("backend server says that it leaves")
+	}
 	ar.g.reach.Contact(ar.g.opts.Now())
 	if resp.NotRun {
 		return ar.handleDeclined(p, resp), last, ar.notRunError(resp)
@@ -213,6 +216,22 @@
 	return outcome, last, err
 }
 
+// leaving returns the backend server that sent the response if it leaves.
+func (p placement) leaving(resp *Response) *LeavingServer {
+	if resp.Leaving && !p.helper {
+		return &LeavingServer{p.server.Instance, p.server.StartUnixMs}
+	}
+	return resp.LeavingServer
+}
+
+// startResponse begins the response to the caller.
+func (ar *activeRequest) startResponse(status int, header http.Header, length int64, leaving *LeavingServer) {
+	if w, ok := ar.w.(LeavingResponder); ok && leaving != nil {
+		w.SetLeaving(*leaving)
+	}
+	ar.w.Start(status, header, length)
+}
+
 func (ar *activeRequest) newAttempt(p placement, now time.Time) Attempt {
 	a := Attempt{
 		Address: p.server.Address, Instance: p.server.Instance, Remaining: ar.deadline.Sub(now),
@@ -331,7 +350,7 @@
 	if resp.Status >= 500 && !p.helper {
 		ar.g.usage.recordFailure(p.server.Instance, ar.g.opts.Now())
 	}
-	errResp := &errorResponse{resp.Status, resp.Header, body}
+	errResp := &errorResponse{resp.Status, resp.Header, body, p.leaving(resp)}
 	if resp.Status < 500 || p.helper {
 		return final, errResp, nil
 	}
@@ -369,7 +388,7 @@
 		ar.g.usage.recordServiceTime(p.server.Instance, now.Sub(began))
 	}
 	ar.status = resp.Status
-	ar.w.Start(resp.Status, resp.Header, int64(len(body)))
+	ar.startResponse(resp.Status, resp.Header, int64(len(body)), p.leaving(resp))
 	if _, err := ar.w.Write(body); err != nil {
 		return final, nil
 	}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
 
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
 	"github.com/jasminesaddle/jasminesaddle/internal/h1"
@@ -77,6 +78,8 @@
 	untilClose  bool
 	limit       float64
 	brittle     int
+	leaving     bool
+	quiet       time.Duration
 	body        *body
 	err         error
 	after       time.Duration
@@ -135,6 +138,7 @@
 	return &Response{
 		Status: rep.status, Header: http.Header{}, Length: -1, Body: rep.body, NotRun: rep.notRun || rep.misdirected,
 		Misdirected: rep.misdirected, FromBackend: !rep.forged, EndsWithConnection: rep.untilClose, Limit: rep.limit, Tolerated: rep.brittle,
+		Leaving: rep.leaving, Quiet: rep.quiet,
 	}, nil
 }
 
@@ -231,6 +235,13 @@
 	return c, err
 }
 
+// usageReport returns what the gateway tells the leader.
+func (g *Gateway) usageReport() *apiv1.ExchangeRequest {
+	req := &apiv1.ExchangeRequest{}
+	g.Report(req)
+	return req
+}
+
 func (h *harness) instances() []string {
 	var out []string
 	for _, s := range h.sent {
--- a/internal/gateway/fleetsim_test.go
+++ b/internal/gateway/fleetsim_test.go
@@ -147,8 +147,8 @@
 func (l simLog) Join(*apiv1.JoinRequest) *apiv1.JoinResponse { return &apiv1.JoinResponse{} }
 
 // Order and Report are not needed: all engines hold the model.
-func (s *fleetSim) Order(context.Context, residency.Order, uint64) residency.Outcome {
-	return residency.Done
+func (s *fleetSim) Order(context.Context, residency.Order, uint64) residency.Result {
+	return residency.Result{Outcome: residency.Done}
 }
 
 func (s *fleetSim) Report(context.Context, string, string) (residency.Report, error) {
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -2,16 +2,15 @@
 
 import (
 	"time"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
+	"github.com/jasminesaddle/jasminesaddle/internal/intake"
 )
 
 const (
 	// failureWeight is the weight of one outcome in a server's failure rate:
 	// ten requests reveal a server that fails a fraction of its requests.
 	failureWeight = 0.1
-	// minBackoff and maxBackoff bound the time for which an unreachable server
-	// is not tried; it doubles with each consecutive failure.
-	minBackoff = 300 * time.Millisecond
-	maxBackoff = 3 * time.Second
 	// latencyWeight is the weight of one request in a server's mean service
 	// time and latency factor.
 	latencyWeight = 0.1
@@ -30,7 +29,8 @@
 	defer u.mu.Unlock()
 	s := u.server(instance)
 	s.failureRate -= s.failureRate * failureWeight
-	s.consecutiveFailures, s.backoffUntil, s.lastSeen = 0, time.Time{}, now
+	s.lastSeen = now
+	s.gate.Reached()
 }
 
 // recordFailure records a response that was missing, incomplete or a server
@@ -48,18 +48,14 @@
 	defer u.mu.Unlock()
 	s := u.server(instance)
 	s.failureRate += (1 - s.failureRate) * failureWeight
-	if now.Before(s.backoffUntil) {
-		return
-	}
-	s.backoffUntil = now.Add(min(minBackoff<<min(s.consecutiveFailures, 8), maxBackoff))
-	s.consecutiveFailures++
+	s.gate.Unreachable(now)
 }
 
 // isBrittle reports whether the server last said that it is brittle.
 func (u *usage) isBrittle(instance string) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.server(instance).places.Brittle()
+	return u.server(instance).gate.Brittle()
 }
 
 // endBackoffs ends the backoff of all servers, after a time in which none could be reached.
@@ -67,7 +63,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, s := range u.servers {
-		s.consecutiveFailures, s.backoffUntil = 0, time.Time{}
+		s.gate.Reached()
 	}
 }
 
@@ -85,26 +81,47 @@
 	return u.server(instance).lastSeen
 }
 
-// recordResponse records the load and the limit that a server reported with its response, if
-// any, and whether it is brittle. Only a success without a limit ends one: a server may refuse
-// without naming it.
-func (u *usage) recordResponse(instance string, resp *Response, now time.Time) {
+// recordResponse records the load that a server reported with its response, if any, and what it says of
+// the requests that it takes. It reports whether the server has said only now that it leaves.
+func (u *usage) recordResponse(server *exchange.Server, resp *Response, now time.Time) (leaves bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	s := u.server(instance)
+	s := u.server(server.Instance)
 	s.lastSeen = now
 	if resp.Load != nil {
 		s.load, s.loadAt, s.inFlightAtLoad = *resp.Load, now, s.inFlight
 	}
-	if resp.Limit > 0 || resp.FromBackend && !resp.NotRun && resp.Status < 300 {
-		s.gate.Name(instance, resp.Limit, now)
-	}
-	if resp.Tolerated > 0 || resp.FromBackend && !resp.NotRun && resp.Status < 300 {
-		s.places.Name(instance, resp.Tolerated, now)
-	}
-	if resp.NotRun && !resp.Misdirected {
-		s.places.Refused(now)
-	}
+	before := s.gate.Leaves(server.StartUnixMs, now)
+	// What another instance at the address says is not of this one.
+	other := resp.Misdirected && resp.ActualInstance != "" && resp.ActualInstance != server.Instance
+	s.gate.Observe(server.Instance, server.StartUnixMs, intake.Statement{
+		Limit: resp.Limit, Tolerated: resp.Tolerated, Leaving: resp.Leaving && !other, Quiet: resp.Quiet,
+		Served: resp.FromBackend && !resp.NotRun && resp.Status < 300, TurnedAway: resp.NotRun && !resp.Misdirected,
+	}, now)
+	return !before && s.gate.Leaves(server.StartUnixMs, now)
+}
+
+// markLeaving records that a server of which another host passed on a response leaves.
+func (u *usage) markLeaving(l LeavingServer, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	s := u.server(l.Instance)
+	s.used = now
+	s.gate.MarkLeaving(l.StartUnixMs, now)
+}
+
+// leaves reports whether the server has said that it leaves.
+func (u *usage) leaves(server *exchange.Server, now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.server(server.Instance).gate.Leaves(server.StartUnixMs, now)
+}
+
+// isSilent reports whether the server must get nothing from this host now.
+func (u *usage) isSilent(server *exchange.Server, now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.server(server.Instance).gate.Silent(server.StartUnixMs, now)
 }
 
 // takeTurn counts a request against this host's part of the server's limit, and reports whether
@@ -112,7 +129,7 @@
 func (u *usage) takeTurn(instance string, hosts int, now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.server(instance).gate.Take(now, hosts)
+	return u.server(instance).gate.Take(hosts, now)
 }
 
 // recordServiceTime records the service time of a plain request.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -12,6 +12,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/balance"
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/intake"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
 )
 
@@ -77,7 +78,11 @@
 			if !ar.g.usage.takeTurn(d.Instance, ar.hosts(v), now) {
 				continue // another request took the turn
 			}
-			return ar.awaitReady(ctx, p)
+			p, err := ar.awaitReady(ctx, p)
+			if err == nil && ar.g.usage.isSilent(p.server, ar.g.opts.Now()) {
+				continue // meanwhile the server said that it leaves, or wants nothing
+			}
+			return p, err
 		}
 		if !ar.r.Generation || ar.r.Weights.Adapter == "" || !ar.shouldLoad(v, d, eligible, now) {
 			return placement{}, ar.refusalError(v, d, eligible)
@@ -154,7 +159,7 @@
 
 // isUsable reports whether the request may be sent to the server.
 func (ar *activeRequest) isUsable(s *exchange.Server) bool {
-	return !s.Draining && !ar.excluded[s.Instance] && ar.mayGoOnAt(s)
+	return !s.Draining && !ar.excluded[s.Instance] && ar.mayGoOnAt(s) && !ar.g.usage.leaves(s, ar.g.opts.Now())
 }
 
 // mayGoOnAt reports whether the stream may go on at the server. What two builds write does not fit
@@ -207,17 +212,11 @@
 	out := make([]balance.Candidate, 0, len(servers))
 	for i, s := range servers {
 		su := u.server(s.Instance)
-		if now.Before(su.backoffUntil) {
-			continue
-		}
 		su.gate.Assign(v.Limits[s.Instance], now)
-		if !su.gate.Open(now, ar.hosts(v)) {
-			continue
-		}
 		if places, ok := v.Brittle[s.Instance]; ok {
-			su.places.Assign(places.Fact, places.Places)
+			su.gate.AssignPlaces(places.Fact, places.Places)
 		}
-		if !su.places.Open(su.inFlight, s.Slots, ar.hosts(v), now) {
+		if su.gate.Check(s.StartUnixMs, intake.Load{InFlight: su.inFlight, Slots: s.Slots, Hosts: ar.hosts(v)}, now) != intake.Open {
 			continue
 		}
 		c := balance.Candidate{
@@ -335,7 +334,7 @@
 	}
 	if turnIn := ar.turnIn(v, eligible); d.Best == "" && turnIn > 0 {
 		return fault.Newf(fault.KindOverloaded, "send the request again",
-			"the backend servers of %s take no more requests now: they named limits", ar.service.Name).
+			"the backend servers of %s take no more requests now: they named limits or asked to wait", ar.service.Name).
 			WithRun(fault.NotRun).After(min(turnIn, maxTurnRetryAfter))
 	}
 	return fault.Newf(fault.KindOverloaded, "send the request again",
@@ -354,18 +353,18 @@
 	u := ar.g.usage
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return slices.ContainsFunc(eligible, func(instance string) bool { return u.server(instance).places.Brittle() })
+	return slices.ContainsFunc(eligible, func(instance string) bool { return u.server(instance).gate.Brittle() })
 }
 
-// turnIn returns the time until one of the servers that are at their limits takes a request of this
-// host; 0 when none is at its limit.
+// turnIn returns the time until one of the servers that are at their limits, or have asked to wait, takes a request
+// of this host; 0 when there is none.
 func (ar *activeRequest) turnIn(v *exchange.View, eligible []string) time.Duration {
 	now, u := ar.g.opts.Now(), ar.g.usage
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	var first time.Duration
 	for _, instance := range eligible {
-		if wait := u.server(instance).gate.OpenIn(now, ar.hosts(v)); wait > 0 && (first == 0 || wait < first) {
+		if wait := u.server(instance).gate.OpenIn(ar.hosts(v), now); wait > 0 && (first == 0 || wait < first) {
 			first = wait
 		}
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -166,6 +166,9 @@
 		st.outcome, st.failure = ar.handleRefusal(resp.Refusal)
 	default:
 		defer resp.Body.Close()
+		if resp.LeavingServer != nil {
+			ar.g.usage.markLeaving(*resp.LeavingServer, now)
+		}
 		ar.tries.MayHaveRun()
 		st.build = resp.Origin.Build
 		if st.build != "" {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -135,11 +135,24 @@
 	// Tolerated is the number of requests that a brittle server can turn away in a second; 0 when it
 	// does not say that it is brittle.
 	Tolerated int
+	// Leaving is true when the server says that it leaves, and Quiet how long it wants nothing of this
+	// host.
+	Leaving bool
+	Quiet   time.Duration
+	// LeavingServer is the backend server behind a host that relayed the response, if it leaves.
+	LeavingServer *LeavingServer
 	// ActualInstance is the instance that responded instead of the expected
 	// one.
 	ActualInstance string
 }
 
+// LeavingServer is one start of a backend server that has said that it leaves.
+type LeavingServer struct {
+	Instance string
+	// StartUnixMs is its start, 0 if unknown.
+	StartUnixMs int64
+}
+
 // Load is a backend server's own count of requests.
 type Load struct{ Running, Waiting, Slots int }
 
@@ -161,6 +174,12 @@
 	Abort()
 }
 
+// LeavingResponder is a Responder that also takes which leaving server responds, before its Start.
+type LeavingResponder interface {
+	Responder
+	SetLeaving(s LeavingServer)
+}
+
 // OriginResponder is a Responder that also takes what began the response, before its Start.
 type OriginResponder interface {
 	Responder
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -119,7 +119,7 @@
 // refused at the same time do not all retry at the same time.
 func (g *Gateway) jitterRetryAfter(err error) {
 	if e, ok := fault.As(err); ok && e.RetryAfter > 0 {
-		e.RetryAfter = time.Duration(float64(e.RetryAfter) * (1 - retryAfterJitter/2 + retryAfterJitter*g.random()))
+		e.RetryAfter = time.Duration(float64(e.RetryAfter) * (1 + retryAfterJitter*g.random()))
 	}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -44,7 +44,7 @@
 				ar.recordProgress(now)
 			}
 			ar.build.Store(&p.server.Build)
-			if err := ar.relayEvents(resp, whole); err != nil {
+			if err := ar.relayEvents(p, resp, whole); err != nil {
 				return final, nil
 			}
 		}
@@ -53,7 +53,7 @@
 			if !p.helper {
 				ar.recordStreamEnd(resp, instance, now)
 			}
-			ar.start(resp)
+			ar.start(p, resp)
 			return delivered, nil
 		case err != nil || ar.events.tooLong():
 			return ar.handleCutStream(ctx, p, err, now)
@@ -76,8 +76,8 @@
 
 // relayEvents writes events to the caller, after the header of the first
 // server's response.
-func (ar *activeRequest) relayEvents(resp *Response, whole []byte) error {
-	ar.start(resp)
+func (ar *activeRequest) relayEvents(p placement, resp *Response, whole []byte) error {
+	ar.start(p, resp)
 	ar.pinned.Store(!ar.route.Resumable || ar.events.lastID == "")
 	if _, err := ar.w.Write(whole); err != nil {
 		return err
@@ -85,7 +85,7 @@
 	return ar.w.Flush()
 }
 
-func (ar *activeRequest) start(resp *Response) {
+func (ar *activeRequest) start(p placement, resp *Response) {
 	if ar.started {
 		return
 	}
@@ -93,7 +93,7 @@
 	if w, ok := ar.w.(OriginResponder); ok {
 		w.SetOrigin(ar.origin())
 	}
-	ar.w.Start(resp.Status, resp.Header, -1)
+	ar.startResponse(resp.Status, resp.Header, -1, p.leaving(resp))
 }
 
 // origin returns what began the stream; its build is empty before the first event.
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -7,10 +7,9 @@
 	"time"
 
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
-	"github.com/jasminesaddle/jasminesaddle/internal/places"
+	"github.com/jasminesaddle/jasminesaddle/internal/intake"
 	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
-	"github.com/jasminesaddle/jasminesaddle/internal/serverlimit"
 )
 
 // usage holds what this host has in flight at each backend server, its
@@ -39,9 +38,6 @@
 	inFlight int
 	pending  int
 	adapters map[residency.Ref]int
-	// backoffUntil is when an unreachable server is tried again.
-	backoffUntil        time.Time
-	consecutiveFailures int
 	// failureRate is the exponentially weighted fraction of requests that
 	// failed.
 	failureRate float64
@@ -57,10 +53,8 @@
 	loadAt         time.Time
 	inFlightAtLoad int
 	used           time.Time
-	// gate holds this host's part of the limit that the server names.
-	gate serverlimit.Gate
-	// places are this host's places at a brittle server.
-	places places.Gate
+	// gate decides whether the server takes requests of this host.
+	gate intake.Gate
 }
 
 func newUsage() *usage {
@@ -163,12 +157,15 @@
 		if s.inFlight > 0 {
 			req.Loads = append(req.Loads, s.report(instance))
 		}
-		if l, ok := s.gate.Known(); ok {
+		if l, ok := s.gate.KnownLimit(); ok {
 			req.Limits = append(req.Limits, &apiv1.ServerLimit{
 				Instance: instance, PerSecond: l.PerSecond, AgeMs: uint32(max(0, now.Sub(l.NamedAt)).Milliseconds()),
 			})
 		}
-		if f, d, ok := s.places.Report(s.inFlight, now); ok {
+		if start, ok := s.gate.LeavingStart(); ok {
+			req.Leaving = append(req.Leaving, &apiv1.LeavingServer{Instance: instance, StartUnixMs: start})
+		}
+		if f, d, ok := s.gate.ReportPlaces(s.inFlight, now); ok {
 			req.Brittle = append(req.Brittle, &apiv1.BrittleServer{
 				Instance: instance, Tolerated: uint32(f.Tolerated), AgeMs: uint32(max(0, now.Sub(f.NamedAt)).Milliseconds()),
 				Places: uint32(d.Held), InFlight: uint32(d.InFlight), Wanted: uint32(d.Wanted), Refusals: uint32(d.Refusals),
@@ -215,13 +212,20 @@
 	}
 }
 
+// leavingRetention is how long a host remembers that a server leaves which is no longer listed.
+const leavingRetention = 15 * time.Minute
+
 // prune drops the state of servers that are unknown and have not been used for
 // a minute.
 func (u *usage) prune(known func(instance string) bool, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for instance, s := range u.servers {
-		if s.inFlight == 0 && !known(instance) && now.Sub(s.used) > time.Minute {
+		retention := time.Minute
+		if _, leaves := s.gate.LeavingStart(); leaves {
+			retention = leavingRetention
+		}
+		if s.inFlight == 0 && !known(instance) && now.Sub(s.used) > retention {
 			delete(u.servers, instance)
 		}
 	}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -65,7 +65,7 @@
 	case *apiv1.RelayResponse_Start:
 		return &gateway.Response{
 			Status: int(part.Start.GetStatus()), Header: decodeHeader(part.Start.GetFields()), Length: part.Start.GetLength(), Body: b,
-			FromBackend: true, Origin: originOf(part.Start),
+			FromBackend: true, Origin: originOf(part.Start), LeavingServer: leavingOf(part.Start),
 		}, nil
 	case *apiv1.RelayResponse_End:
 		_ = b.Close()
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -21,6 +21,13 @@
 	return origin.Origin{Service: s.GetService(), Build: s.GetBuild()}
 }
 
+func leavingOf(s *apiv1.RelayStart) *gateway.LeavingServer {
+	if l := s.GetLeaving(); l != nil {
+		return &gateway.LeavingServer{Instance: l.GetInstance(), StartUnixMs: l.GetStartUnixMs()}
+	}
+	return nil
+}
+
 // Server serves the requests that other entry hosts relay.
 type Server struct {
 	Gateway *gateway.Gateway
@@ -50,6 +57,7 @@
 type responder struct {
 	stream  *connect.ServerStream[apiv1.RelayResponse]
 	origin  origin.Origin
+	leaving *apiv1.LeavingServer
 	failed  error
 	aborted bool
 }
@@ -64,10 +72,16 @@
 // SetOrigin is called before Start with the service and the build of the backend server.
 func (w *responder) SetOrigin(o origin.Origin) { w.origin = o }
 
+// SetLeaving is called before Start with the backend server if it leaves.
+func (w *responder) SetLeaving(s gateway.LeavingServer) {
+	w.leaving = &apiv1.LeavingServer{Instance: s.Instance, StartUnixMs: s.StartUnixMs}
+}
+
 // Start sends the status and header.
 func (w *responder) Start(status int, header http.Header, length int64) {
 	_ = w.send(&apiv1.RelayResponse{Part: &apiv1.RelayResponse_Start{Start: &apiv1.RelayStart{
 		Status: uint32(status), Fields: encodeHeader(header), Length: length, Service: w.origin.Service, Build: w.origin.Build,
+		Leaving: w.leaving,
 	}}})
 }
 
@@ -84,4 +98,7 @@
 // Abort has the sender told that the response is incomplete.
 func (w *responder) Abort() { w.aborted = true }
 
-var _ gateway.OriginResponder = (*responder)(nil)
+var (
+	_ gateway.OriginResponder  = (*responder)(nil)
+	_ gateway.LeavingResponder = (*responder)(nil)
+)
--- a/internal/residency/order.go
+++ b/internal/residency/order.go
@@ -39,6 +39,20 @@
 	return [...]string{"accepted", "done", "conflict", "rejected", "unknown"}[o]
 }
 
+// Result is the result of an order at its engine.
+type Result struct {
+	Outcome Outcome
+	// Quiet is how long the engine wants nothing of the host that sent the order.
+	Quiet time.Duration
+}
+
+// QuietError is the error of a report that was not read because the engine wants nothing of this host.
+type QuietError struct{ For time.Duration }
+
+func (e *QuietError) Error() string {
+	return "the engine wants nothing of this host for " + e.For.String() + "; its report is read after that"
+}
+
 // NextStatus describes how to proceed with a desired load.
 type NextStatus int
 
@@ -66,7 +80,7 @@
 	if res := e.residents[ref]; res != nil && res.version >= newest && !res.unloading {
 		return Order{}, NextFinished
 	}
-	if e.orderInTransit || !e.orderable || !e.sequenceKnown || now.Before(e.notBefore) {
+	if e.orderInTransit || !e.orderable || !e.sequenceKnown || now.Before(e.notBefore) || now.Before(e.quietUntil) {
 		return Order{}, NextLater
 	}
 	if res := e.residents[ref]; res != nil && res.unloading {
@@ -196,6 +210,8 @@
 		return "no_holder"
 	case e.orderInTransit:
 		return "order_on_its_way"
+	case now.Before(e.quietUntil):
+		return "quiet"
 	case !e.sequenceKnown:
 		return "sequence_unknown"
 	case now.Before(e.notBefore):
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -99,6 +100,48 @@
 	return out
 }
 
+const (
+	// minMoveRate is the lowest rate, in requests per second, at which an adapter is loaded elsewhere before
+	// its engine has left.
+	minMoveRate = 0.3
+	// maxMovesPerPlan limits the moves of one plan, so that they do not delay loads for which requests wait.
+	maxMovesPerPlan = 4
+)
+
+// Moves returns the loads that bring adapters in demand to other engines, since all that hold them leave. It answers the
+// load of days on which engines are replaced: their adapters would be loaded together when the first requests
+// miss them.
+func (t *Table) Moves(now time.Time) []DesiredResident {
+	leaving := map[Ref]string{} // the service
+	for _, e := range t.engines {
+		if !e.Draining {
+			continue
+		}
+		for ref := range e.residents {
+			if a := t.arrivals[ref]; ref.Adapter != "" && a != nil && a.decay(now) >= minMoveRate {
+				leaving[ref] = e.Service
+			}
+		}
+	}
+	refs := slices.SortedFunc(maps.Keys(leaving), func(a, b Ref) int {
+		return cmp.Or(cmp.Compare(t.arrivals[b].rate, t.arrivals[a].rate), strings.Compare(a.String(), b.String()))
+	})
+	var out []DesiredResident
+	for _, ref := range refs {
+		engines := t.usable(Request{Service: leaving[ref], Ref: ref}, now)
+		if t.holdsNewest(engines, ref) {
+			continue
+		}
+		if best := t.bestForLoad(engines, ref, now); best != nil {
+			out = append(out, DesiredResident{best.Instance, ref, "engine_leaves"})
+		}
+		if len(out) == maxMovesPerPlan {
+			break
+		}
+	}
+	return out
+}
+
 // planReplica returns the engine for another replica of an adapter that is resident on
 // fewer engines than target.
 func (t *Table) planReplica(service string, ref Ref, target int, now time.Time) (DesiredResident, bool) {
--- a/internal/residency/table.go
+++ b/internal/residency/table.go
@@ -174,6 +174,9 @@
 	startUnixMs int64
 	// startedAt is when the table learned of this start.
 	startedAt time.Time
+	// leaving is true once the engine has said in a response that it leaves. Draining is true then,
+	// whatever the list says.
+	leaving bool
 
 	sequence       uint64
 	sequenceKnown  bool
@@ -185,6 +188,8 @@
 	// conflicts the number of consecutive orders that it refused as conflicts.
 	notBefore time.Time
 	conflicts int
+	// quietUntil is the time until which the engine wants neither orders nor requests for its report.
+	quietUntil time.Time
 	// unanswered counts consecutive orders and report requests without a response.
 	unanswered int
 	// unresolved are the loads without a response, which the engine may still execute.
@@ -299,6 +304,28 @@
 	}
 }
 
+// SetLeaving records that a server has said in a response that it leaves; startUnixMs is the start of the one that
+// said so, 0 if unknown. It reports whether that is new.
+func (t *Table) SetLeaving(instance string, startUnixMs int64) bool {
+	e := t.engines[instance]
+	if e == nil || e.leaving || startUnixMs != 0 && startUnixMs < e.startUnixMs {
+		return false
+	}
+	e.leaving, e.Draining = true, true
+	t.markChanged(e)
+	return true
+}
+
+// SetQuiet records how long an engine wants neither orders nor requests for its report; 0 changes nothing.
+func (t *Table) SetQuiet(instance string, quiet time.Duration, now time.Time) {
+	if e := t.engines[instance]; e != nil && quiet > 0 {
+		e.quietUntil = maxTime(e.quietUntil, now.Add(quiet))
+	}
+}
+
+// StartUnixMs returns the start of the engine in Unix milliseconds, 0 if unknown.
+func (e *Engine) StartUnixMs() int64 { return e.startUnixMs }
+
 // Examined returns how many engines and residents decisions have looked at since the
 // table was made. It measures their cost independently of the machine.
 func (t *Table) Examined() uint64 { return t.examined }
@@ -369,8 +396,8 @@
 		delete(t.removed, l.Instance)
 		t.markChanged(e)
 	}
-	if e.Draining != l.Draining || e.Slots != l.Slots || e.Build != l.Build {
-		e.Draining, e.Slots, e.Build = l.Draining, l.Slots, l.Build
+	if draining := l.Draining || e.leaving; e.Draining != draining || e.Slots != l.Slots || e.Build != l.Build {
+		e.Draining, e.Slots, e.Build = draining, l.Slots, l.Build
 		t.markChanged(e)
 	}
 	t.reconcile(e, l.Residents, now)
@@ -496,6 +523,7 @@
 		for ref, res := range e.residents {
 			t.recordDeparture(e, ref, res, departRestarted, now)
 		}
+		e.leaving = false
 		e.cached, e.residents, e.droppedAt, e.startedAt = nil, map[Ref]*resident{}, map[Ref]time.Time{}, now
 		e.unresolved = e.carryUnresolved(now)
 	}
@@ -569,7 +597,7 @@
 // that it gets no order, or to decide on residents. A report requested now reflects the last order.
 func (t *Table) NeedsReport(instance string, now time.Time) bool {
 	e := t.engines[instance]
-	if e == nil || e.orderInTransit || !t.isEngine(e) {
+	if e == nil || e.orderInTransit || !t.isEngine(e) || now.Before(e.quietUntil) {
 		return false
 	}
 	sinceOrder := now.Sub(e.lastOrder)
