--- a/internal/exchange/view.go
+++ b/internal/exchange/view.go
@@ -174,7 +174,11 @@
 // drains servers; the residents of known engines stay as they are.
 func (v *View) applyList(list []residency.ListedEngine, now time.Time) {
 	servers := map[string]*Server{}
-	for _, l := range list {
+	known := func(l residency.ListedEngine) bool {
+		s := v.Servers[l.Instance]
+		return s != nil && s.Address == l.Address && s.Service == l.Service
+	}
+	for _, l := range residency.DistinctInstances(list, known) {
 		old := v.Servers[l.Instance]
 		if old != nil && old.Address == l.Address && old.Service == l.Service {
 			next := *old
--- a/internal/residency/table.go
+++ b/internal/residency/table.go
@@ -347,7 +347,7 @@
 // ObserveList updates the table from the platform's complete list.
 func (t *Table) ObserveList(list []ListedEngine, now time.Time) {
 	seen := map[string]bool{}
-	for _, l := range t.distinct(list) {
+	for _, l := range DistinctInstances(list, t.holds) {
 		seen[l.Instance] = true
 		t.observe(l, now)
 	}
@@ -360,24 +360,30 @@
 	}
 }
 
-// distinct returns one entry for each instance: of several, the one that fits what the table holds, and else
-// the first.
-func (t *Table) distinct(list []ListedEngine) []ListedEngine {
+// DistinctInstances returns one entry for each instance: of several with one name, which another writer may have left, the
+// one that is known already, and else the first.
+func DistinctInstances(list []ListedEngine, known func(ListedEngine) bool) []ListedEngine {
 	index := make(map[string]int, len(list))
 	out := make([]ListedEngine, 0, len(list))
 	for _, l := range list {
 		i, duplicate := index[l.Instance]
-		switch e := t.engines[l.Instance]; {
+		switch {
 		case !duplicate:
 			index[l.Instance] = len(out)
 			out = append(out, l)
-		case e != nil && e.Address == l.Address && e.Service == l.Service && e.startUnixMs == l.StartUnixMs:
+		case !known(out[i]) && known(l):
 			out[i] = l
 		}
 	}
 	return out
 }
 
+// holds reports whether the table has the start of the engine that the entry describes.
+func (t *Table) holds(l ListedEngine) bool {
+	e := t.engines[l.Instance]
+	return e != nil && e.Address == l.Address && e.Service == l.Service && e.startUnixMs == l.StartUnixMs
+}
+
 func (t *Table) observe(l ListedEngine, now time.Time) {
 	e := t.engines[l.Instance]
 	if e != nil && l.StartUnixMs != 0 && l.StartUnixMs < e.startUnixMs && now.Sub(e.startedAt) < maxListLag {
