A refusal that a server writes once more is not taken for that of the next request (REFUSED, TWICE)

Cause: a response of 300 or more without the echoed identifier was taken for that of the request in transit, on a kept connection too, and a retry of a request used the connection on which a refusal with its identifier had come, so that a copy of that fitted it. The caller was told that the request has not run, or it was sent to another server, while the server ran it. Change: a refusal without identifier counts on a connection's first exchange only; a connection is not used again for an identifier that got no success there, and serves others meanwhile.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -109,6 +110,29 @@
 	// expires is when an idle connection is closed, idleSince when it became
 	// idle.
 	expires, idleSince time.Time
+	// used is true once a response has come over the connection.
+	used bool
+	// failed are the identifiers of the last requests that got no success here. A faulty server may send
+	// such a response once more, where that to a retry with the same identifier is expected.
+	failed []string
+}
+
+// maxFailedIDs is the number of identifiers that a connection remembers.
+const maxFailedIDs = 32
+
+// hasFailed reports whether a request with the identifier got no success over the connection.
+func (c *conn) hasFailed(id string) bool { return id != "" && slices.Contains(c.failed, id) }
+
+// record notes the response to a request.
+func (c *conn) record(id string, status int) {
+	c.used = true
+	if id == "" || status < 300 {
+		return
+	}
+	if len(c.failed) == maxFailedIDs {
+		c.failed = slices.Delete(c.failed, 0, 1)
+	}
+	c.failed = append(c.failed, id)
 }
 
 // limitedReader limits the number of bytes read for a header.
@@ -177,7 +201,11 @@
 			return nil, resp.fail(ctx, true, err)
 		}
 		skipped += informational
-		if r.ID == "" || head.Header.Get(echo) == r.ID || head.Header.Get(echo) == "" && head.StatusCode >= 300 {
+		// A server may refuse a request before it has read its identifier. On a connection that was used before, such a
+		// response may be a copy of an earlier one.
+		unread := head.Header.Get(echo) == "" && head.StatusCode >= 300 && !c.used
+		if r.ID == "" || head.Header.Get(echo) == r.ID || unread {
+			c.record(r.ID, head.StatusCode)
 			resp.setHeader(head, skipped > 0)
 			return resp, nil
 		}
--- a/internal/h1/h1_test.go
+++ b/internal/h1/h1_test.go
@@ -123,6 +123,104 @@
 	})
 }
 
+func refusal(id string) string {
+	echo := ""
+	if id != "" {
+		echo = "Id: " + id + "\n"
+	}
+	return "HTTP/1.1 503 Service Unavailable\n" + echo + "Not-Run: 1\nContent-Length: 0\n\n"
+}
+
+// A faulty server writes an earlier refusal once more on a kept connection, with its identifier or without one. It
+// must not be taken for the response to the next request, which the server runs.
+func TestEarlierRefusalOnceMore(t *testing.T) {
+	for name, tc := range map[string]struct {
+		first, second string // the identifiers of the requests
+		again         string // the copy of the refusal
+		status        int    // of the second response; 0 for an error
+		dials         int
+	}{
+		"identifier of another request": {"1", "2", refusal("1"), 200, 1},
+		"no identifier":                 {"1", "2", refusal(""), 0, 1},
+		// A retry at the same server has the identifier of the attempt before.
+		"identifier of the same request": {"1", "1", refusal("1"), 200, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := func(t *testing.T, c net.Conn, r *bufio.Reader) {
+				refused := false
+				for {
+					if req, _ := readRequest(t, r); req == nil {
+						return
+					}
+					switch {
+					case !refused && tc.first == "1":
+						refused = true
+						send(c, refusal(tc.first))
+					default:
+						send(c, tc.again+response(tc.second, "ran"))
+					}
+				}
+			}
+			ran := func(t *testing.T, c net.Conn, r *bufio.Reader) {
+				readRequest(t, r)
+				send(c, response(tc.second, "ran"))
+			}
+			run(t, []script{server, ran}, func(p *Pool, dials *int) {
+				resp, err := p.Do(context.Background(), "s", &Request{Method: "POST", Target: "/x", Host: "h", ID: tc.first})
+				must.NoError(t, err)
+				must.Eq(t, 503, resp.Status)
+				_, err = io.ReadAll(resp)
+				must.NoError(t, err)
+				must.NoError(t, resp.Close())
+				resp, err = p.Do(context.Background(), "s", &Request{Method: "POST", Target: "/x", Host: "h", ID: tc.second})
+				must.Eq(t, tc.dials, *dials)
+				if tc.status == 0 {
+					must.True(t, sent(t, err), must.Sprint("the caller is told that the request has not run"))
+					return
+				}
+				must.NoError(t, err)
+				must.Eq(t, tc.status, resp.Status)
+				must.NoError(t, resp.Close())
+			})
+		})
+	}
+}
+
+// A refusal without an identifier on a new connection can only be that of the request.
+func TestRefusalOnNewConnection(t *testing.T) {
+	run(t, []script{func(t *testing.T, c net.Conn, r *bufio.Reader) {
+		readRequest(t, r)
+		send(c, refusal(""))
+	}}, func(p *Pool, _ *int) {
+		resp, err := p.Do(context.Background(), "s", &Request{Method: "POST", Target: "/x", Host: "h", ID: "1"})
+		must.NoError(t, err)
+		must.Eq(t, 503, resp.Status)
+		must.NoError(t, resp.Close())
+	})
+}
+
+// A refusal that arrives before the request was written is not its response.
+func TestRefusalBeforeRequest(t *testing.T) {
+	run(t, []script{func(t *testing.T, c net.Conn, r *bufio.Reader) {
+		readRequest(t, r)
+		send(c, response("1", "one")+refusal("2"))
+		readRequest(t, r)
+	}, func(t *testing.T, c net.Conn, r *bufio.Reader) {
+		readRequest(t, r)
+		send(c, response("2", "two"))
+	}}, func(p *Pool, _ *int) {
+		_, err := do(p, "1", "")
+		must.NoError(t, err)
+		synctest.Wait()
+		got, err := do(p, "2", "")
+		if err != nil {
+			must.True(t, sent(t, err))
+			return
+		}
+		must.Eq(t, "two", got)
+	})
+}
+
 // A response that echoes another identifier, or none, must not reach the
 // caller.
 func TestMismatch(t *testing.T) {
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,7 +81,7 @@
 // Do sends the request to the server and returns its response, which the
 // caller must close. Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
-	c, err := p.acquire(ctx, address, r.MaxIdle)
+	c, err := p.acquire(ctx, address, r)
 	if err != nil {
 		return nil, NewError(false, errors.Is(err, context.DeadlineExceeded), err)
 	}
@@ -95,9 +96,9 @@
 
 // acquire returns an idle connection on which nothing has arrived, or a new
 // one.
-func (p *Pool) acquire(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
+func (p *Pool) acquire(ctx context.Context, address string, r *Request) (*conn, error) {
 	for {
-		c, err := p.acquireIdle(address, maxIdle)
+		c, err := p.acquireIdle(address, r)
 		if err != nil {
 			return nil, err
 		}
@@ -113,15 +114,18 @@
 
 // acquireIdle returns an idle connection, or nil when the caller has to open
 // one, which is then already counted.
-func (p *Pool) acquireIdle(address string, maxIdle time.Duration) (*conn, error) {
+func (p *Pool) acquireIdle(address string, r *Request) (*conn, error) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.server(address)
-	for len(s.idle) > 0 {
-		c := s.idle[len(s.idle)-1]
-		s.idle = s.idle[:len(s.idle)-1]
-		if now.Before(c.expires) && (maxIdle == 0 || now.Sub(c.idleSince) <= maxIdle) {
+	for i := len(s.idle) - 1; i >= 0; i-- {
+		c := s.idle[i]
+		if c.hasFailed(r.ID) {
+			continue // it serves others
+		}
+		s.idle = slices.Delete(s.idle, i, i+1)
+		if now.Before(c.expires) && (r.MaxIdle == 0 || now.Sub(c.idleSince) <= r.MaxIdle) {
 			return c, nil
 		}
 		s.open--
