--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -64,6 +64,9 @@
 	events       eventReader
 	started      bool
 	firstEventAt time.Time
+	// lastEventAt is when the last events were passed on, and longestPause the longest time between two.
+	lastEventAt  time.Time
+	longestPause time.Duration
 	status       int
 	// answer is how far the response to the current attempt has come.
 	answer quarantine.AnswerState
@@ -362,7 +365,7 @@
 			Str("origin", string(ar.originReason))
 	}
 	if !ar.firstEventAt.IsZero() {
-		e = e.Dur("first", ar.firstEventAt.Sub(ar.r.Received)).Int("events", ar.events.count)
+		e = e.Dur("first", ar.firstEventAt.Sub(ar.r.Received)).Int("events", ar.events.count).Dur("longest_pause", ar.longestPause)
 	}
 	if ar.r.Handover != nil {
 		e = e.Str("relayed_from", ar.r.Handover.From)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -44,6 +44,7 @@
 				ar.recordProgress(now)
 			}
 			ar.build.Store(&p.server.Build)
+			ar.observePause(now)
 			if err := ar.relayEvents(p, resp, whole); err != nil {
 				return final, nil
 			}
@@ -74,6 +75,14 @@
 	}
 }
 
+// observePause records the time since the event before.
+func (ar *activeRequest) observePause(now time.Time) {
+	if !ar.lastEventAt.IsZero() {
+		ar.longestPause = max(ar.longestPause, now.Sub(ar.lastEventAt))
+	}
+	ar.lastEventAt = now
+}
+
 // relayEvents writes events to the caller, after the header of the first
 // server's response.
 func (ar *activeRequest) relayEvents(p placement, resp *Response, whole []byte) error {
