--- a/internal/api/v1/apiv1connect/coordination.connect.go
+++ b/internal/api/v1/apiv1connect/coordination.connect.go
@@ -51,6 +51,9 @@
 	// CoordinationServiceFindStreamProcedure is the fully-qualified name of the CoordinationService's
 	// FindStream RPC.
 	CoordinationServiceFindStreamProcedure = "/jasmine.v1.CoordinationService/FindStream"
+	// CoordinationServiceBookPromptProcedure is the fully-qualified name of the CoordinationService's
+	// BookPrompt RPC.
+	CoordinationServiceBookPromptProcedure = "/jasmine.v1.CoordinationService/BookPrompt"
 	// CoordinationServiceJoinProcedure is the fully-qualified name of the CoordinationService's Join
 	// RPC.
 	CoordinationServiceJoinProcedure = "/jasmine.v1.CoordinationService/Join"
@@ -75,6 +78,9 @@
 	RecordStreams(context.Context, *v1.RecordStreamsRequest) (*v1.RecordStreamsResponse, error)
 	// FindStream returns the build that began a stream.
 	FindStream(context.Context, *v1.FindStreamRequest) (*v1.FindStreamResponse, error)
+	// BookPrompt tells when a prompt may be sent to an engine, so that the streams there do not pause for too
+	// long. Any control host answers.
+	BookPrompt(context.Context, *v1.BookPromptRequest) (*v1.BookPromptResponse, error)
 	// Join requests that a control host becomes a member of the replicated log.
 	Join(context.Context, *v1.JoinRequest) (*v1.JoinResponse, error)
 	// Execute has a control host send an order to an engine of which it is the holder.
@@ -122,6 +128,12 @@
 			connect.WithSchema(coordinationServiceMethods.ByName("FindStream")),
 			connect.WithClientOptions(opts...),
 		),
+		bookPrompt: connect.NewClient[v1.BookPromptRequest, v1.BookPromptResponse](
+			httpClient,
+			baseURL+CoordinationServiceBookPromptProcedure,
+			connect.WithSchema(coordinationServiceMethods.ByName("BookPrompt")),
+			connect.WithClientOptions(opts...),
+		),
 		join: connect.NewClient[v1.JoinRequest, v1.JoinResponse](
 			httpClient,
 			baseURL+CoordinationServiceJoinProcedure,
@@ -144,6 +156,7 @@
 	lend          *connect.Client[v1.LendRequest, v1.LendResponse]
 	recordStreams *connect.Client[v1.RecordStreamsRequest, v1.RecordStreamsResponse]
 	findStream    *connect.Client[v1.FindStreamRequest, v1.FindStreamResponse]
+	bookPrompt    *connect.Client[v1.BookPromptRequest, v1.BookPromptResponse]
 	join          *connect.Client[v1.JoinRequest, v1.JoinResponse]
 	execute       *connect.Client[v1.ExecuteRequest, v1.ExecuteResponse]
 }
@@ -193,6 +206,15 @@
 	return nil, err
 }
 
+// BookPrompt calls jasmine.v1.CoordinationService.BookPrompt.
+func (c *coordinationServiceClient) BookPrompt(ctx context.Context, req *v1.BookPromptRequest) (*v1.BookPromptResponse, error) {
+	response, err := c.bookPrompt.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // Join calls jasmine.v1.CoordinationService.Join.
 func (c *coordinationServiceClient) Join(ctx context.Context, req *v1.JoinRequest) (*v1.JoinResponse, error) {
 	response, err := c.join.CallUnary(ctx, connect.NewRequest(req))
@@ -227,6 +249,9 @@
 	RecordStreams(context.Context, *v1.RecordStreamsRequest) (*v1.RecordStreamsResponse, error)
 	// FindStream returns the build that began a stream.
 	FindStream(context.Context, *v1.FindStreamRequest) (*v1.FindStreamResponse, error)
+	// BookPrompt tells when a prompt may be sent to an engine, so that the streams there do not pause for too
+	// long. Any control host answers.
+	BookPrompt(context.Context, *v1.BookPromptRequest) (*v1.BookPromptResponse, error)
 	// Join requests that a control host becomes a member of the replicated log.
 	Join(context.Context, *v1.JoinRequest) (*v1.JoinResponse, error)
 	// Execute has a control host send an order to an engine of which it is the holder.
@@ -270,6 +295,12 @@
 		connect.WithSchema(coordinationServiceMethods.ByName("FindStream")),
 		connect.WithHandlerOptions(opts...),
 	)
+	coordinationServiceBookPromptHandler := connect.NewUnaryHandlerSimple(
+		CoordinationServiceBookPromptProcedure,
+		svc.BookPrompt,
+		connect.WithSchema(coordinationServiceMethods.ByName("BookPrompt")),
+		connect.WithHandlerOptions(opts...),
+	)
 	coordinationServiceJoinHandler := connect.NewUnaryHandlerSimple(
 		CoordinationServiceJoinProcedure,
 		svc.Join,
@@ -294,6 +325,8 @@
 			coordinationServiceRecordStreamsHandler.ServeHTTP(w, r)
 		case CoordinationServiceFindStreamProcedure:
 			coordinationServiceFindStreamHandler.ServeHTTP(w, r)
+		case CoordinationServiceBookPromptProcedure:
+			coordinationServiceBookPromptHandler.ServeHTTP(w, r)
 		case CoordinationServiceJoinProcedure:
 			coordinationServiceJoinHandler.ServeHTTP(w, r)
 		case CoordinationServiceExecuteProcedure:
@@ -327,6 +360,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jasmine.v1.CoordinationService.FindStream is not implemented"))
 }
 
+func (UnimplementedCoordinationServiceHandler) BookPrompt(context.Context, *v1.BookPromptRequest) (*v1.BookPromptResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jasmine.v1.CoordinationService.BookPrompt is not implemented"))
+}
+
 func (UnimplementedCoordinationServiceHandler) Join(context.Context, *v1.JoinRequest) (*v1.JoinResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jasmine.v1.CoordinationService.Join is not implemented"))
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -26,6 +26,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/meter"
+	"github.com/jasminesaddle/jasminesaddle/internal/prompts"
 	"github.com/jasminesaddle/jasminesaddle/internal/replica"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
 	"github.com/jasminesaddle/jasminesaddle/internal/state"
@@ -89,6 +90,10 @@
 	cacheHistory cacheHistory
 	quiet        quietEngines
 
+	promptsMu sync.Mutex
+	// promptBook holds the ledgers of the engines that this host owns.
+	promptBook *prompts.Book
+
 	// tasks counts the running background tasks of all terms.
 	tasks sync.WaitGroup
 
@@ -101,6 +106,7 @@
 	c := &Coordinator{
 		opts: opts, log: opts.Logger, metrics: newMetrics(opts.Meter),
 		cacheHistory: cacheHistory{unloaded: map[string][]residency.Ref{}}, quiet: quietEngines{until: map[string]time.Time{}},
+		promptBook: prompts.NewBook(),
 	}
 	opts.Meter.Gauge("residents_examined", c.leaderGauge(func(l *leader) uint64 { return l.table.Examined() }))
 	opts.Meter.Gauge("loads_examined", c.leaderGauge(func(l *leader) uint64 { return l.hosts.examined }))
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -302,3 +302,31 @@
 		must.NotEq(t, "", acquire(c, "later").GetInstance(), must.Sprint("engines are shunned after their time"))
 	})
 }
+
+// Prompts must be booked for services whose streams pause for too long, as hosts report, and any control host must answer
+// bookings, with a wait only while the engine reads other prompts.
+func TestBookPrompt(t *testing.T) {
+	start(t, func(t *testing.T, c *Coordinator, log *fakeLog, _ *fleet) {
+		report := func(late uint32) []string {
+			resp, err := c.Exchange(context.Background(), &apiv1.ExchangeRequest{
+				Host: "h", Pauses: []*apiv1.StreamPauses{{Service: "llm", Streams: 50, Late: late}},
+			})
+			must.NoError(t, err)
+			return resp.GetBookedServices()
+		}
+		must.SliceEmpty(t, report(1))
+		must.Eq(t, []string{"llm"}, report(10))
+		log.set(func(l *fakeLog) { l.leading = false })
+		book := func(instance string) *apiv1.BookPromptResponse {
+			resp, err := c.BookPrompt(context.Background(), &apiv1.BookPromptRequest{Instance: instance, Tokens: 2000, MaxWaitUs: 200_000})
+			must.NoError(t, err)
+			return resp
+		}
+		must.Zero(t, book("e0").GetWaitUs())
+		second := book("e0")
+		must.True(t, second.GetBooked())
+		must.Between(t, 20_000, second.GetWaitUs(), 200_000)
+		must.False(t, book("e0").GetBooked())
+		must.Zero(t, book("e1").GetWaitUs())
+	})
+}
--- a/internal/coordinator/handlers.go
+++ b/internal/coordinator/handlers.go
@@ -32,6 +32,7 @@
 	l.applyReport(req, now)
 	l.exchangeLimits(req, resp, now)
 	l.exchangeBrittle(req, resp, now)
+	l.exchangePauses(req, resp, now)
 	l.addAllocations(req, resp, now)
 	l.addState(req, resp)
 	l.addFleet(req, resp, now)
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -12,6 +12,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
 	"github.com/jasminesaddle/jasminesaddle/internal/origin"
 	"github.com/jasminesaddle/jasminesaddle/internal/places"
+	"github.com/jasminesaddle/jasminesaddle/internal/prompts"
 	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 	"github.com/jasminesaddle/jasminesaddle/internal/quota"
 	"github.com/jasminesaddle/jasminesaddle/internal/replica"
@@ -54,6 +55,7 @@
 	cutOff  map[string]bool
 	limits  *serverlimit.Table
 	brittle *places.Table
+	pauses  *prompts.Watch
 	streams *origin.Table
 	// buildHistory follows the builds in the list; recordingBuilds is true while a change of them is
 	// being proposed.
@@ -81,7 +83,7 @@
 		table: residency.New(residency.Options{}), allocator: quota.NewAllocator(now),
 		hosts: newHostUsage(), cutOff: map[string]bool{}, limits: serverlimit.NewTable(), jobs: map[jobKey]*job{}, progress: make(chan struct{}),
 		reporting: map[string]bool{}, holders: newHolderTable(),
-		brittle: places.NewTable(now), streams: origin.NewTable(c.builds(), now), buildHistory: origin.NewHistory(),
+		brittle: places.NewTable(now), pauses: prompts.NewWatch(), streams: origin.NewTable(c.builds(), now), buildHistory: origin.NewHistory(),
 	}
 	l.syncState(now)
 	return l
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -10,7 +10,7 @@
 type metrics struct {
 	terms, lists, listErrors, reports, exchanges, acquires, grants *expvar.Int
 	streamRecords                                                  *expvar.Int
-	orders, streamsFound                                           *expvar.Map
+	orders, streamsFound, bookings                                 *expvar.Map
 }
 
 func newMetrics(m *meter.Set) metrics {
@@ -19,7 +19,7 @@
 		reports: m.Counter("engine_reports"), exchanges: m.Counter("exchanges"), acquires: m.Counter("acquires"),
 		grants: m.Counter("loans"),
 		orders: m.Counters("orders", "outcome"), streamRecords: m.Counter("stream_records"),
-		streamsFound: m.Counters("streams_found", "reason"),
+		streamsFound: m.Counters("streams_found", "reason"), bookings: m.Counters("prompt_bookings", "outcome"),
 	}
 }
 
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -46,6 +46,7 @@
 	Lend(context.Context, *apiv1.LendRequest) (*apiv1.LendResponse, error)
 	RecordStreams(context.Context, *apiv1.RecordStreamsRequest) (*apiv1.RecordStreamsResponse, error)
 	FindStream(context.Context, *apiv1.FindStreamRequest) (*apiv1.FindStreamResponse, error)
+	BookPrompt(context.Context, *apiv1.BookPromptRequest) (*apiv1.BookPromptResponse, error)
 }
 
 // UsageReporter reports the requests that this host has in flight and its demand.
@@ -112,6 +113,10 @@
 	// leaderLost is true when no control host led in the last round.
 	leaderLost   bool
 	acquisitions map[acquireKey]*acquisition
+	// measurements wait for the next booking with the control host at an address, and ownerPausedUntil
+	// is when one that did not answer owns ledgers again.
+	measurements     map[string][]*apiv1.MeasuredPrompt
+	ownerPausedUntil map[string]time.Time
 	// nextBatch holds the records of the next call, and resentTerm is the term of the leader that
 	// has the records of all earlier streams.
 	nextBatch  *streamBatch
@@ -125,6 +130,7 @@
 	c := &Client{
 		opts: opts, log: opts.Logger, seeds: opts.Seeds, tokensRequested: make(chan struct{}, 1),
 		peers: map[string]Coordination{}, acquisitions: map[acquireKey]*acquisition{},
+		measurements: map[string][]*apiv1.MeasuredPrompt{}, ownerPausedUntil: map[string]time.Time{},
 		duration: opts.Meter.Histogram("exchange_ms"), grantDuration: opts.Meter.Histogram("grant_ms"),
 		grants: opts.Meter.Counters("grant_calls", "outcome"), recordCalls: opts.Meter.Counters("stream_record_calls", "outcome"),
 		streams: origin.NewLog(), recordsQueued: make(chan struct{}, 1), nextBatch: newStreamBatch(),
@@ -328,6 +334,7 @@
 	if helpers := resp.GetHelpers(); len(helpers) > 0 {
 		v.Helpers, v.HelpersAt = decodeHelpers(helpers), now
 	}
+	v.BookedServices = resp.GetBookedServices()
 	v.Confirmed, v.Hosts, v.Term = sent, int(resp.GetHosts()), term
 	c.view.Store(v)
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -36,6 +36,11 @@
 	streams   []*apiv1.StreamRecord
 	// wantsStreams is true when the leader asks for the records of all streams.
 	wantsStreams bool
+	// booked are the control hosts that were asked to book prompts, and prompts the measurements that they got; silent
+	// does not answer.
+	booked  []string
+	prompts []*apiv1.MeasuredPrompt
+	silent  string
 }
 
 func (c *fakeControl) with(f func()) {
@@ -103,6 +108,18 @@
 	return &apiv1.FindStreamResponse{Leadership: &apiv1.Leadership{Leading: h.address == h.c.leader}}, nil
 }
 
+// BookPrompt answers with the owner that was asked, as the number of its address.
+func (h fakeHost) BookPrompt(_ context.Context, req *apiv1.BookPromptRequest) (*apiv1.BookPromptResponse, error) {
+	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
+	h.c.booked = append(h.c.booked, h.address)
+	h.c.prompts = append(h.c.prompts, req.GetMeasured()...)
+	if h.address == h.c.silent {
+		return nil, errors.New("no answer")
+	}
+	return &apiv1.BookPromptResponse{Booked: true, WaitUs: 1500}, nil
+}
+
 func (c *fakeControl) Report(*apiv1.ExchangeRequest) {}
 func (c *fakeControl) Reported(ok bool)              { c.with(func() { c.reported = append(c.reported, ok) }) }
 
--- a/internal/exchange/view.go
+++ b/internal/exchange/view.go
@@ -54,6 +54,8 @@
 	// Helpers are hosts that serve requests of a host that reaches no backend server, as of HelpersAt.
 	Helpers   []Helper
 	HelpersAt time.Time
+	// BookedServices are the services whose prompts are booked.
+	BookedServices []string
 	// Hosts is the number of entry hosts.
 	Hosts int
 	// Term is the leader's term.
--- /dev/null
+++ b/internal/gateway/booking.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/prompts"
+)
+
+// alternativeWait is how long a prompt waits for its turn at an engine while another engine could take it.
+const alternativeWait = 60 * time.Millisecond
+
+// turn is the result of a booking.
+type turn int
+
+const (
+	// turnNow: the prompt may be sent.
+	turnNow turn = iota
+	// turnElsewhere: another engine is to be asked.
+	turnElsewhere
+	// turnNever: no engine reads the prompt in time.
+	turnNever
+)
+
+// booksPrompts reports whether the request's prompt is booked before it is sent.
+func (ar *activeRequest) booksPrompts(v *exchange.View) bool {
+	return ar.r.Generation && ar.route.Gap > 0 && slices.Contains(v.BookedServices, ar.service.Name)
+}
+
+// awaitTurn books the prompt at the engine, and waits until it may be sent. others is the number of engines that could
+// take it instead. Without an answer, and for a stream that goes on, the prompt is sent at once.
+func (ar *activeRequest) awaitTurn(ctx context.Context, v *exchange.View, p *placement, others int) (turn, error) {
+	if !ar.booksPrompts(v) {
+		return turnNow, nil
+	}
+	now := ar.g.opts.Now()
+	b := prompts.Booking{Instance: p.server.Instance, Tokens: p.tokens, MaxWait: ar.maxWait(now)}
+	askedAll := ar.askedAll || others == 0
+	if !askedAll {
+		b.MaxWait = min(b.MaxWait, alternativeWait)
+	}
+	slot, err := ar.g.opts.Fleet.BookPrompt(ctx, b)
+	if err != nil {
+		ar.g.metrics.bookings.Add("not_answered", 1)
+		return turnNow, nil
+	}
+	if slot.Booked {
+		ar.g.metrics.bookings.Add("booked", 1)
+		ar.promptWait += slot.Wait
+		p.booked = true
+		if !sleep(ctx, slot.Wait) {
+			return turnNow, context.Cause(ctx)
+		}
+		return turnNow, nil
+	}
+	ar.g.metrics.bookings.Add("too_late", 1)
+	if ar.started {
+		return turnNow, nil
+	}
+	ar.crowded[p.server.Instance] = true
+	if ar.turnAfter == 0 || slot.Wait < ar.turnAfter {
+		ar.turnAfter = slot.Wait
+	}
+	if askedAll {
+		return turnNever, nil
+	}
+	return turnElsewhere, nil
+}
+
+// askAgain has all engines asked again that could not read the prompt soon, now for as long as the request may wait.
+func (ar *activeRequest) askAgain() bool {
+	if len(ar.crowded) == 0 || ar.askedAll {
+		return false
+	}
+	ar.askedAll = true
+	clear(ar.crowded)
+	return true
+}
+
+// crowdedError is the refusal of a request whose prompt no engine reads in time.
+func (ar *activeRequest) crowdedError() error {
+	return fault.Newf(fault.KindOverloaded, "send the request again",
+		"the engines read other prompts first, for %s at least", ar.turnAfter.Round(time.Millisecond)).
+		WithRun(fault.NotRun).After(max(ar.turnAfter, minCrowdedRetryAfter))
+}
+
+// minCrowdedRetryAfter keeps callers from returning before an engine has read a prompt.
+const minCrowdedRetryAfter = 150 * time.Millisecond
+
+// measurePrompt has the engine's ledger corrected by the time to the first event.
+func (ar *activeRequest) measurePrompt(p placement, took time.Duration) {
+	if p.booked {
+		ar.g.opts.Fleet.MeasurePrompt(prompts.Measurement{Instance: p.server.Instance, Tokens: p.tokens, Took: took})
+	}
+}
+
+// recordPauses counts the stream if its pauses tell how busy its engine was with prompts.
+func (ar *activeRequest) recordPauses() {
+	if ar.longestPause > 0 && ar.r.Generation && ar.route.Gap > 0 && len(ar.attemptLog) == 1 && !ar.attemptLog[0].relayed {
+		ar.g.usage.recordPauses(ar.service.Name, ar.longestPause > ar.route.Gap)
+	}
+}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -20,6 +20,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/h1"
 	"github.com/jasminesaddle/jasminesaddle/internal/meter"
 	"github.com/jasminesaddle/jasminesaddle/internal/origin"
+	"github.com/jasminesaddle/jasminesaddle/internal/prompts"
 	"github.com/jasminesaddle/jasminesaddle/internal/quota"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
 	"github.com/jasminesaddle/jasminesaddle/internal/retry"
@@ -100,6 +101,9 @@
 	acquire func(residency.Request) (exchange.Acquired, error)
 	respond func(n int, a Attempt) reply
 	crashed map[string]bool
+	// book answers bookings; nil for none. measured are the measurements of prompts.
+	book     func(prompts.Booking) (prompts.Slot, error)
+	measured []prompts.Measurement
 
 	mu   sync.Mutex
 	sent []sent
@@ -113,6 +117,12 @@
 
 func (h *harness) RequestTokens() {}
 
+func (h *harness) BookPrompt(_ context.Context, b prompts.Booking) (prompts.Slot, error) {
+	return h.book(b)
+}
+
+func (h *harness) MeasurePrompt(m prompts.Measurement) { h.measured = append(h.measured, m) }
+
 func (h *harness) Acquire(_ context.Context, r residency.Request) (exchange.Acquired, error) {
 	return h.acquire(r)
 }
--- a/internal/gateway/fleetsim_test.go
+++ b/internal/gateway/fleetsim_test.go
@@ -202,6 +202,10 @@
 	return carry(c, c.coordinator().Exchange, ctx, r)
 }
 
+func (c simControl) BookPrompt(ctx context.Context, r *apiv1.BookPromptRequest) (*apiv1.BookPromptResponse, error) {
+	return carry(c, c.coordinator().BookPrompt, ctx, r)
+}
+
 func (c simControl) Acquire(ctx context.Context, r *apiv1.AcquireRequest) (*apiv1.AcquireResponse, error) {
 	return carry(c, c.coordinator().Acquire, ctx, r)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
 	"github.com/jasminesaddle/jasminesaddle/internal/meter"
 	"github.com/jasminesaddle/jasminesaddle/internal/origin"
+	"github.com/jasminesaddle/jasminesaddle/internal/prompts"
 	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 	"github.com/jasminesaddle/jasminesaddle/internal/quota"
 	"github.com/jasminesaddle/jasminesaddle/internal/reach"
@@ -31,6 +32,10 @@
 	// FindStream returns the origin of a stream that an attempt began, nil for an attempt that the
 	// caller did not name.
 	FindStream(ctx context.Context, key *origin.Key, services []string) (origin.Answer, error)
+	// BookPrompt asks when a prompt may be sent to an engine, and MeasurePrompt tells how long an engine took
+	// for one.
+	BookPrompt(ctx context.Context, b prompts.Booking) (prompts.Slot, error)
+	MeasurePrompt(m prompts.Measurement)
 	// RequestTokens asks the leader to grant tokens for the waiting requests.
 	RequestTokens()
 }
--- a/internal/gateway/manyhosts_test.go
+++ b/internal/gateway/manyhosts_test.go
@@ -220,3 +220,7 @@
 	}
 	return kinds()[0]
 }
+
+func (l *rateLeader) BookPrompt(context.Context, *apiv1.BookPromptRequest) (*apiv1.BookPromptResponse, error) {
+	return &apiv1.BookPromptResponse{Booked: true}, nil
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -27,6 +27,8 @@
 	// the expected time to the first event.
 	tokens   int
 	expected time.Duration
+	// booked is true when the prompt was booked.
+	booked bool
 	// helper is true when the server stands for another entry host that relays the response.
 	helper bool
 }
@@ -70,6 +72,8 @@
 // placeAttempt chooses the server of the next attempt. It waits for an adapter
 // that has to be loaded.
 func (ar *activeRequest) placeAttempt(ctx context.Context) (placement, error) {
+	ar.askedAll, ar.turnAfter = false, 0
+	clear(ar.crowded)
 	for {
 		now := ar.g.opts.Now()
 		v := ar.g.opts.Fleet.View()
@@ -79,10 +83,22 @@
 				continue // another request took the turn
 			}
 			p, err := ar.awaitReady(ctx, p)
-			if err == nil && ar.g.usage.isSilent(p.server, ar.g.opts.Now()) {
-				continue // meanwhile the server said that it leaves, or wants nothing
+			turn := turnNow
+			if err == nil {
+				turn, err = ar.awaitTurn(ctx, v, &p, ar.otherEngines(eligible, p.server.Instance))
 			}
-			return p, err
+			switch {
+			case err != nil:
+				return p, err
+			case turn == turnNever && !ar.askAgain():
+				return placement{}, ar.crowdedError()
+			case turn != turnNow, ar.g.usage.isSilent(p.server, ar.g.opts.Now()):
+				continue // or the server said meanwhile that it leaves, or wants nothing
+			}
+			return p, nil
+		}
+		if ar.askAgain() {
+			continue
 		}
 		if !ar.r.Generation || ar.r.Weights.Adapter == "" || !ar.shouldLoad(v, d, eligible, now) {
 			return placement{}, ar.refusalError(v, d, eligible)
@@ -120,6 +136,18 @@
 	return p, d, instances(servers)
 }
 
+// otherEngines returns the number of the eligible engines that were not asked to read the prompt, besides the
+// instance.
+func (ar *activeRequest) otherEngines(eligible []string, instance string) int {
+	n := 0
+	for _, other := range eligible {
+		if other != instance && !ar.crowded[other] {
+			n++
+		}
+	}
+	return n
+}
+
 func instances(servers []*exchange.Server) []string {
 	out := make([]string, len(servers))
 	for i, s := range servers {
@@ -211,6 +239,9 @@
 	shared := ar.r.sharedTokens()
 	out := make([]balance.Candidate, 0, len(servers))
 	for i, s := range servers {
+		if ar.crowded[s.Instance] {
+			continue
+		}
 		su := u.server(s.Instance)
 		su.gate.Assign(v.Limits[s.Instance], now)
 		if places, ok := v.Brittle[s.Instance]; ok {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -67,7 +67,13 @@
 	// lastEventAt is when the last events were passed on, and longestPause the longest time between two.
 	lastEventAt  time.Time
 	longestPause time.Duration
-	status       int
+	// crowded holds the engines that could not read the prompt soon, and turnAfter the shortest time until one could;
+	// askedAll is true when each has been asked. promptWait is how long the prompt waited for its turn.
+	crowded    map[string]bool
+	askedAll   bool
+	turnAfter  time.Duration
+	promptWait time.Duration
+	status     int
 	// answer is how far the response to the current attempt has come.
 	answer quarantine.AnswerState
 	// suspect is true when a server crashed as it began the response, and no response is known
@@ -109,11 +115,12 @@
 func (g *Gateway) Serve(ctx context.Context, r *Request, w Responder) error {
 	g.addRunning(1)
 	defer g.addRunning(-1)
-	ar := &activeRequest{g: g, r: r, w: w, excluded: map[string]bool{}, missing: map[string]bool{}, helpers: map[string]bool{}}
+	ar := &activeRequest{g: g, r: r, w: w, excluded: map[string]bool{}, missing: map[string]bool{}, helpers: map[string]bool{}, crowded: map[string]bool{}}
 	defer func() { g.buffers.give(ar.buffered) }()
 	err := ar.serve(ctx)
 	err = ar.tries.FinalError(err)
 	g.jitterRetryAfter(err)
+	ar.recordPauses()
 	ar.recordEnd(ctx, err)
 	return err
 }
@@ -365,7 +372,7 @@
 			Str("origin", string(ar.originReason))
 	}
 	if !ar.firstEventAt.IsZero() {
-		e = e.Dur("first", ar.firstEventAt.Sub(ar.r.Received)).Int("events", ar.events.count).Dur("longest_pause", ar.longestPause)
+		e = e.Dur("first", ar.firstEventAt.Sub(ar.r.Received)).Int("events", ar.events.count).Dur("longest_pause", ar.longestPause).Dur("prompt_wait", ar.promptWait)
 	}
 	if ar.r.Handover != nil {
 		e = e.Str("relayed_from", ar.r.Handover.From)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -65,6 +65,7 @@
 func (ar *activeRequest) recordFirstEvent(p placement, began, now time.Time) {
 	if !p.helper {
 		ar.g.usage.recordFirstEvent(p.server.Instance, now.Sub(began), p.expected)
+		ar.measurePrompt(p, now.Sub(began))
 	}
 	if ar.firstEventAt.IsZero() {
 		ar.firstEventAt = now
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -20,6 +20,8 @@
 	servers  map[string]*serverUsage
 	arrivals map[residency.Ref]*arrivalCount
 	marks    quarantine.MarkLog
+	// pauses counts the streams of each service that have ended since the last report.
+	pauses map[string]*apiv1.StreamPauses
 	// unconfirmed is the content of the report in transit.
 	unconfirmed unconfirmed
 }
@@ -58,7 +60,22 @@
 }
 
 func newUsage() *usage {
-	return &usage{servers: map[string]*serverUsage{}, arrivals: map[residency.Ref]*arrivalCount{}}
+	return &usage{servers: map[string]*serverUsage{}, arrivals: map[residency.Ref]*arrivalCount{}, pauses: map[string]*apiv1.StreamPauses{}}
+}
+
+// recordPauses counts a stream that has ended.
+func (u *usage) recordPauses(service string, late bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	p := u.pauses[service]
+	if p == nil {
+		p = &apiv1.StreamPauses{Service: service}
+		u.pauses[service] = p
+	}
+	p.Streams++
+	if late {
+		p.Late++
+	}
 }
 
 // server returns the state of an instance. The caller holds mu.
@@ -180,6 +197,10 @@
 			Model: ref.Model, Adapter: ref.Adapter, Arrivals: uint32(a.requests), Tokens: a.tokens,
 		})
 	}
+	for _, p := range u.pauses {
+		req.Pauses = append(req.Pauses, p)
+	}
+	clear(u.pauses)
 	req.Crashes = u.marks.Report(req.GetTerm(), now)
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -23,6 +23,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/meter"
 	"github.com/jasminesaddle/jasminesaddle/internal/origin"
 	"github.com/jasminesaddle/jasminesaddle/internal/peer"
+	"github.com/jasminesaddle/jasminesaddle/internal/prompts"
 	"github.com/jasminesaddle/jasminesaddle/internal/quota"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
 )
@@ -43,6 +44,12 @@
 func (f *helperHost) View() *exchange.View { return f.view }
 func (f *helperHost) RequestTokens()       {}
 
+func (f *helperHost) BookPrompt(context.Context, prompts.Booking) (prompts.Slot, error) {
+	return prompts.Slot{Booked: true}, nil
+}
+
+func (f *helperHost) MeasurePrompt(prompts.Measurement) {}
+
 func (f *helperHost) Acquire(context.Context, residency.Request) (exchange.Acquired, error) {
 	return exchange.Acquired{}, fault.New(fault.KindNoBackend, "no", "again").WithRun(fault.NotRun)
 }
