--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -103,3 +104,37 @@
 		})
 	}
 }
+
+// A stalled stream that sends a byte now and then, but no event, must end at the caller's deadline and free its place at the
+// engine; a slow one whose events come must not be cut before it.
+func TestTricklingStreams(t *testing.T) {
+	trickle := make([]string, 400)
+	for i := range trickle {
+		trickle[i] = "x"
+	}
+	trickle[0] = event("1") + "id: 2\ndata: "
+	for _, route := range []string{"stream", "once"} {
+		start(t, func(h *harness) {
+			h.respond = func(int, Attempt) reply {
+				return reply{status: 200, body: &body{pieces: append([]string{}, trickle...), gap: 300 * time.Millisecond}}
+			}
+			began := time.Now()
+			c, err := h.ask(route, nil)
+			must.NoError(t, err)
+			must.True(t, c.aborted)
+			must.LessEq(t, 2500*time.Millisecond, time.Since(began))
+			for instance := range h.g.usage.servers {
+				must.Zero(t, h.g.usage.servers[instance].inFlight)
+			}
+		})
+		start(t, func(h *harness) {
+			h.respond = func(int, Attempt) reply {
+				return reply{status: 200, body: &body{pieces: []string{event("1"), event("2"), event("3")}, gap: 900 * time.Millisecond}}
+			}
+			c, err := h.ask(route, nil)
+			must.NoError(t, err)
+			must.False(t, c.aborted)
+			must.Eq(t, event("1")+event("2")+event("3"), c.String())
+		})
+	}
+}
