--- a/internal/h1/h1_test.go
+++ b/internal/h1/h1_test.go
@@ -328,8 +328,13 @@
 	run(t, []script{func(t *testing.T, c net.Conn, r *bufio.Reader) {
 		req, err := http.ReadRequest(r)
 		must.NoError(t, err)
-		go send(c, "HTTP/1.1 413 Too Large\nId: 1\nContent-Length: 0\n\n")
+		sent := make(chan struct{})
+		go func() {
+			defer close(sent)
+			send(c, "HTTP/1.1 413 Too Large\nId: 1\nContent-Length: 0\n\n")
+		}()
 		body, err := io.ReadAll(req.Body)
+		<-sent // the connection closes with the script
 		if err == nil {
 			must.Eq(t, long, string(body))
 		}
