--- a/internal/residency/order.go
+++ b/internal/residency/order.go
@@ -219,3 +219,43 @@
 	}
 	return ""
 }
+
+// unresolvedLoad is a load order of which it is not known whether the engine executed it. It names a
+// sequence number, which a restarted engine counts anew.
+type unresolvedLoad struct {
+	expect uint64
+	at     time.Time
+	// earlierStart is true when the engine has restarted under its name since.
+	earlierStart bool
+}
+
+// maxOrderAge is the time after which an order without a response is no longer executed (2 to 12 s are
+// published).
+const maxOrderAge = 15 * time.Second
+
+// carryUnresolved returns the unresolved loads of an engine for its next start.
+func (e *Engine) carryUnresolved(now time.Time) []unresolvedLoad {
+	var out []unresolvedLoad
+	for _, u := range e.unresolved {
+		if now.Sub(u.at) < maxOrderAge {
+			u.earlierStart = true
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// reservedSlots returns the number of slots that unresolved loads may still take although the engine has
+// accepted others since: those ordered before its restart, and those that named a sequence number which it
+// had not reached, as after an unload that was not counted. All others are void by the next order that the
+// engine accepts.
+func (e *Engine) reservedSlots(now time.Time) int {
+	n := 0
+	for _, u := range e.unresolved {
+		pending := u.expect > e.sequence || u.earlierStart && u.expect == e.sequence
+		if pending && now.Sub(u.at) < maxOrderAge {
+			n++
+		}
+	}
+	return n
+}
