--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -82,20 +82,10 @@
 			if !ar.g.usage.takeTurn(d.Instance, ar.hosts(v), now) {
 				continue // another request took the turn
 			}
-			p, err := ar.awaitReady(ctx, p)
-			turn := turnNow
-			if err == nil {
-				turn, err = ar.awaitTurn(ctx, v, &p, ar.otherEngines(eligible, p.server.Instance))
-			}
-			switch {
-			case err != nil:
+			if p, ok, err := ar.awaitStart(ctx, v, p, eligible); ok || err != nil {
 				return p, err
-			case turn == turnNever && !ar.askAgain():
-				return placement{}, ar.crowdedError()
-			case turn != turnNow, ar.g.usage.isSilent(p.server, ar.g.opts.Now()):
-				continue // or the server said meanwhile that it leaves, or wants nothing
 			}
-			return p, nil
+			continue
 		}
 		if ar.askAgain() {
 			continue
@@ -109,6 +99,26 @@
 	}
 }
 
+// awaitStart waits until the adapter is ready and the prompt's turn has come. It reports false when another server
+// must be chosen.
+func (ar *activeRequest) awaitStart(ctx context.Context, v *exchange.View, p placement, eligible []string) (placement, bool, error) {
+	p, err := ar.awaitReady(ctx, p)
+	if err != nil {
+		return p, false, err
+	}
+	turn, err := ar.awaitTurn(ctx, v, &p, ar.otherEngines(eligible, p.server.Instance))
+	switch {
+	case err != nil:
+		return p, false, err
+	case turn == turnNever && !ar.askAgain():
+		return p, false, ar.crowdedError()
+	case turn != turnNow:
+		return p, false, nil
+	}
+	// Meanwhile the server may have said that it leaves, or wants nothing.
+	return p, !ar.g.usage.isSilent(p.server, ar.g.opts.Now()), nil
+}
+
 // chooseServer chooses between the servers that have what the request needs.
 func (ar *activeRequest) chooseServer(v *exchange.View, now time.Time) (placement, balance.Decision, []string) {
 	servers := ar.eligibleServers(v, now)
--- a/internal/residency/observe.go
+++ b/internal/residency/observe.go
@@ -50,6 +50,7 @@
 	return e != nil && e.Address == l.Address && e.Service == l.Service && e.startUnixMs == l.StartUnixMs
 }
 
+// observe applies one entry of the list.
 func (t *Table) observe(l ListedEngine, now time.Time) {
 	e := t.engines[l.Instance]
 	if e != nil && l.StartUnixMs != 0 && l.StartUnixMs < e.startUnixMs && now.Sub(e.startedAt) < maxListLag {
@@ -112,6 +113,7 @@
 	}
 }
 
+// reconcileResident applies a listed resident.
 func (t *Table) reconcileResident(e *Engine, c Resident, now time.Time) {
 	res := e.residents[c.Ref]
 	switch {
