--- a/internal/gateway/intake_test.go
+++ b/internal/gateway/intake_test.go
@@ -64,11 +64,8 @@
 				}
 				loading := residency.Ref{Model: "m", Adapter: "a2"}
 				h.view.Servers["llm1"].Residents[loading] = exchange.Resident{Version: 1, ReadyAt: time.Now().Add(300 * time.Millisecond)}
-				h.acquire = func(r residency.Request) (exchange.Acquired, error) {
-					next := *h.view.Servers["llm2"]
-					next.Residents[r.Ref] = exchange.Resident{Version: 1, ReadyAt: time.Now()}
-					return exchange.Acquired{}, nil
-				}
+				h.acquire = func(residency.Request) (exchange.Acquired, error) { return exchange.Acquired{}, nil }
+				h.view.Servers["llm2"].Residents[loading] = exchange.Resident{Version: 1, ReadyAt: time.Now().Add(400 * time.Millisecond)}
 				h.respond = func(_ int, a Attempt) reply {
 					if a.Instance == "llm1" {
 						return said
