--- a/internal/gateway/booking.go
+++ b/internal/gateway/booking.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
-	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/prompts"
 )
 
@@ -21,8 +20,6 @@
 	turnNow turn = iota
 	// turnElsewhere: another engine is to be asked.
 	turnElsewhere
-	// turnNever: no engine reads the prompt in time.
-	turnNever
 )
 
 // booksPrompts reports whether the request's prompt is booked before it is sent.
@@ -57,16 +54,12 @@
 		return turnNow, nil
 	}
 	ar.g.metrics.bookings.Add("too_late", 1)
-	if ar.started {
+	if askedAll || ar.started {
+		// The ledger spaces prompts and does not know the engine's room: what has no turn in time is sent, as it
+		// would be without ledgers. Whether the engine is overloaded is decided by its load.
 		return turnNow, nil
 	}
 	ar.crowded[p.server.Instance] = true
-	if ar.turnAfter == 0 || slot.Wait < ar.turnAfter {
-		ar.turnAfter = slot.Wait
-	}
-	if askedAll {
-		return turnNever, nil
-	}
 	return turnElsewhere, nil
 }
 
@@ -80,16 +73,6 @@
 	return true
 }
 
-// crowdedError is the refusal of a request whose prompt no engine reads in time.
-func (ar *activeRequest) crowdedError() error {
-	return fault.Newf(fault.KindOverloaded, "send the request again",
-		"the engines read other prompts first, for %s at least", ar.turnAfter.Round(time.Millisecond)).
-		WithRun(fault.NotRun).After(max(ar.turnAfter, minCrowdedRetryAfter))
-}
-
-// minCrowdedRetryAfter keeps callers from returning before an engine has read a prompt.
-const minCrowdedRetryAfter = 150 * time.Millisecond
-
 // measurePrompt has the engine's ledger corrected by the time to the first event.
 func (ar *activeRequest) measurePrompt(p placement, took time.Duration) {
 	if p.booked {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -72,7 +72,7 @@
 // placeAttempt chooses the server of the next attempt. It waits for an adapter
 // that has to be loaded.
 func (ar *activeRequest) placeAttempt(ctx context.Context) (placement, error) {
-	ar.askedAll, ar.turnAfter = false, 0
+	ar.askedAll = false
 	clear(ar.crowded)
 	for {
 		now := ar.g.opts.Now()
@@ -107,13 +107,8 @@
 		return p, false, err
 	}
 	turn, err := ar.awaitTurn(ctx, v, &p, ar.otherEngines(eligible, p.server.Instance))
-	switch {
-	case err != nil:
+	if err != nil || turn != turnNow {
 		return p, false, err
-	case turn == turnNever && !ar.askAgain():
-		return p, false, ar.crowdedError()
-	case turn != turnNow:
-		return p, false, nil
 	}
 	// Meanwhile the server may have said that it leaves, or wants nothing.
 	return p, !ar.g.usage.isSilent(p.server, ar.g.opts.Now()), nil
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -67,11 +67,10 @@
 	// lastEventAt is when the last events were passed on, and longestPause the longest time between two.
 	lastEventAt  time.Time
 	longestPause time.Duration
-	// crowded holds the engines that could not read the prompt soon, and turnAfter the shortest time until one could;
-	// askedAll is true when each has been asked. promptWait is how long the prompt waited for its turn.
+	// crowded holds the engines that could not read the prompt soon, and askedAll is true when each has been asked.
+	// promptWait is how long the prompt waited for its turn.
 	crowded    map[string]bool
 	askedAll   bool
-	turnAfter  time.Duration
 	promptWait time.Duration
 	status     int
 	// answer is how far the response to the current attempt has come.
--- a/internal/prompts/prompts.go
+++ b/internal/prompts/prompts.go
@@ -16,8 +16,9 @@
 	// initialRate is the assumed rate at which an engine reads prompts, in tokens per millisecond, before any was
 	// measured; minRate and maxRate bound what is believed.
 	initialRate, minRate, maxRate = 20.0, 2.0, 400.0
-	// rateWeight is the weight of one measurement.
-	rateWeight = 0.1
+	// rateWeight is the weight of a measurement, and slowerWeight that of one below the rate: what a prompt waited for
+	// at its engine does not make the engine slower.
+	rateWeight, slowerWeight = 0.2, 0.05
 	// minMeasuredTokens is the size of a prompt from which its time tells the rate.
 	minMeasuredTokens = 200
 	// firstEventTime is the part of the time to a first event that is not spent on the prompt.
@@ -102,7 +103,11 @@
 	}
 	l := b.ledger(m.Instance, now)
 	rate := min(max(float64(m.Tokens)/(float64(took)/float64(time.Millisecond)), minRate), maxRate)
-	l.rate += rateWeight * (rate - l.rate)
+	weight := rateWeight
+	if rate < l.rate {
+		weight = slowerWeight
+	}
+	l.rate += weight * (rate - l.rate)
 }
 
 func (b *Book) prune(now time.Time) {
--- a/internal/prompts/watch.go
+++ b/internal/prompts/watch.go
@@ -8,11 +8,12 @@
 
 const (
 	// countHalfLife is the half-life of the counts of streams.
-	countHalfLife = 5 * time.Second
+	countHalfLife = 15 * time.Second
 	// maxLateFraction is the fraction of streams that pause for too long from which the prompts of their service
-	// are booked, and minStreams the number of streams that tell.
-	maxLateFraction = 0.03
-	minStreams      = 20
+	// are booked, and minStreams the number of streams that tell. Engines that fail or fill up make streams pause
+	// for seconds, too, which booking does not help; a service whose engines read slowly shows it all the time.
+	maxLateFraction = 0.06
+	minStreams      = 100
 	// bookedTime is how long prompts are booked after streams last paused for too long. While they are booked, few
 	// do.
 	bookedTime = time.Minute
