--- a/internal/exchange/prompts.go
+++ b/internal/exchange/prompts.go
@@ -62,21 +62,31 @@
 	return list
 }
 
-// ownerOf returns the control host that owns the engine's ledger, by rendezvous hashing over those that answer. It is
-// empty while none is known.
+// ownerOf returns the control host that owns the engine's ledger, by rendezvous hashing over those that answer. The
+// leader, whose work limits a large fleet, owns one only if there is no other. It is empty while none is known.
 func (c *Client) ownerOf(instance string) string {
 	now := c.opts.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	best, highest := "", uint64(0)
 	for _, address := range c.members {
-		if h := xxhash.Sum64String(address + "\x00" + instance); (best == "" || h > highest) && !now.Before(c.ownerPausedUntil[address]) {
+		if now.Before(c.ownerPausedUntil[address]) {
+			continue
+		}
+		h := xxhash.Sum64String(address+"\x00"+instance) >> 1
+		if address != c.leader {
+			h |= notLeading
+		}
+		if best == "" || h > highest {
 			best, highest = address, h
 		}
 	}
 	return best
 }
 
+// notLeading makes the hash of a control host that does not lead higher than any of the leader.
+const notLeading = 1 << 63
+
 // pauseOwner has the ledgers of a control host that does not answer owned by others for a while.
 func (c *Client) pauseOwner(address string) {
 	now := c.opts.Now()
