The log and a counter say why no other attempt followed a failed one

A stream that was ended with time left showed only how its last attempt failed. Whether the next one was refused a place, the request was suspected of a crash, or a limit or the retry budget was reached, could not be told apart. Line `request` gets `end`, `no_place`, `since_failure` and `time_left`, and jasmine_streams_cut counts by reason. No change of behaviour.

--- a/internal/attempts/attempts.go
+++ b/internal/attempts/attempts.go
@@ -69,26 +69,47 @@
 	HasOther func() bool
 }
 
+// Verdict is whether another attempt may follow, or why not.
+type Verdict string
+
+// Verdicts.
+const (
+	Allowed       Verdict = "allowed"
+	NoAttemptLeft Verdict = "no_attempt_left"
+	NoRunLeft     Verdict = "no_run_left"
+	NotRepeatable Verdict = "not_repeatable"
+	TooLate       Verdict = "too_late"
+	NoOtherServer Verdict = "no_other_server"
+	NoBudget      Verdict = "no_budget"
+)
+
 // MayRetry reports whether another attempt may follow, and takes it from the
 // budget.
 func (a *Attempts) MayRetry(n Next, budget *retry.Budget, now time.Time) bool {
-	if a.attempts >= a.limits.Attempts || n.Remaining <= a.limits.MinRemaining || !a.allowed(n) {
-		return false
-	}
-	if n.Free {
-		return true
-	}
-	if n.HasOther != nil && !n.HasOther() {
-		return false
-	}
-	return budget.Take(now)
+	return a.Judge(n, budget, now) == Allowed
 }
 
-func (a *Attempts) allowed(n Next) bool {
-	if n.NotRun && a.ran == 0 {
-		return true
+// Judge returns whether another attempt may follow, and takes it from the
+// budget if so.
+func (a *Attempts) Judge(n Next, budget *retry.Budget, now time.Time) Verdict {
+	neverRan := n.NotRun && a.ran == 0
+	switch {
+	case a.attempts >= a.limits.Attempts:
+		return NoAttemptLeft
+	case n.Remaining <= a.limits.MinRemaining:
+		return TooLate
+	case !neverRan && !n.Repeatable:
+		return NotRepeatable
+	case !neverRan && a.ran >= a.limits.Runs:
+		return NoRunLeft
+	case n.Free:
+		return Allowed
+	case n.HasOther != nil && !n.HasOther():
+		return NoOtherServer
+	case !budget.Take(now):
+		return NoBudget
 	}
-	return n.Repeatable && a.ran < a.limits.Runs
+	return Allowed
 }
 
 // RecordFailure records the error of an attempt.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/h1"
 	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 	"github.com/jasminesaddle/jasminesaddle/internal/reach"
+	"github.com/jasminesaddle/jasminesaddle/internal/retry"
 )
 
 const (
@@ -82,6 +83,7 @@
 		}
 		st, made := try(ctx, errResp)
 		if !made {
+			ar.end, ar.endErr = endNoPlace, st.failure
 			if failure == nil {
 				failure = ar.cause(ctx, st.failure)
 			}
@@ -95,7 +97,8 @@
 		if outcome == delivered {
 			return nil
 		}
-		if outcome == final || ar.suspect || ctx.Err() != nil || !ar.tries.MayRetry(ar.next(outcome), budget, ar.g.opts.Now()) {
+		ar.brokenAt = ar.g.opts.Now()
+		if ar.end = ar.judge(ctx, outcome, budget); ar.end != endReason(attempts.Allowed) {
 			break
 		}
 		ar.g.metrics.retries.Add(1)
@@ -132,6 +135,33 @@
 	return st, true
 }
 
+// endReason is why no other attempt followed: a verdict of package attempts, or one of these.
+type endReason string
+
+const (
+	// endNoPlace: no server was found for the next attempt; the error says why.
+	endNoPlace endReason = "no_place"
+	// endFinal: no attempt can follow the last one.
+	endFinal endReason = "final"
+	// endSuspect: the request may be what crashed its server.
+	endSuspect endReason = "suspect"
+	// endContext: the caller left, or the deadline passed.
+	endContext endReason = "context"
+)
+
+// judge returns why no attempt may follow a failed one, or attempts.Allowed.
+func (ar *activeRequest) judge(ctx context.Context, outcome attemptOutcome, budget *retry.Budget) endReason {
+	switch {
+	case ctx.Err() != nil:
+		return endContext
+	case outcome == final:
+		return endFinal
+	case ar.suspect:
+		return endSuspect
+	}
+	return endReason(ar.tries.Judge(ar.next(outcome), budget, ar.g.opts.Now()))
+}
+
 // next describes the request after a failed attempt.
 func (ar *activeRequest) next(outcome attemptOutcome) attempts.Next {
 	repeatable := ar.route.Repeatable
@@ -149,6 +179,7 @@
 	switch {
 	case ar.started:
 		ar.abortErr = failure
+		ar.g.metrics.streamsCut.Add(string(ar.end), 1)
 		ar.w.Abort()
 		return nil
 	case errResp != nil:
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -455,5 +455,6 @@
 		must.True(t, c.aborted)
 		must.StrContains(t, log.String(), `"outcome":"cut"`)
 		must.StrContains(t, log.String(), errReset.Error())
+		must.StrContains(t, log.String(), `"end":"not_repeatable"`)
 	})
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,7 +9,7 @@
 type metrics struct {
 	requests, attempts            *expvar.Map
 	tokenRefusals, crashes        *expvar.Map
-	bookings                      *expvar.Map
+	bookings, streamsCut          *expvar.Map
 	retries, resumed, probes      *expvar.Int
 	total, first, placing, tokens *meter.Histogram
 }
@@ -18,8 +18,9 @@
 	return metrics{
 		requests: m.Counters("requests", "outcome"), attempts: m.Counters("attempts", "outcome"),
 		tokenRefusals: m.Counters("token_refusals", "reason"), crashes: m.Counters("crashes", "answer"),
-		bookings: m.Counters("prompt_bookings", "outcome"),
-		retries:  m.Counter("repeats"), resumed: m.Counter("streams_resumed"),
+		bookings:   m.Counters("prompt_bookings", "outcome"),
+		streamsCut: m.Counters("streams_cut", "reason"),
+		retries:    m.Counter("repeats"), resumed: m.Counter("streams_resumed"),
 		probes: m.Counter("reach_probes"),
 		total:  m.Histogram("request_ms"), first: m.Histogram("first_event_ms"),
 		placing: m.Histogram("placing_ms"), tokens: m.Histogram("token_wait_ms"),
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -80,6 +80,11 @@
 	suspect bool
 	// abortErr is why a partial response was aborted.
 	abortErr error
+	// end is why no attempt followed the last one, endErr the refusal of a place, and brokenAt when the last
+	// attempt failed.
+	end      endReason
+	endErr   error
+	brokenAt time.Time
 	// build is the build that began the stream; nil before its first event.
 	build atomic.Pointer[string]
 	// record is the record of the stream, and recordSent is true once a leader may have it.
@@ -382,6 +387,12 @@
 			e = e.Bool("relayed", true)
 		}
 	}
+	if !ar.brokenAt.IsZero() {
+		e = e.Str("end", string(ar.end)).Dur("since_failure", now.Sub(ar.brokenAt)).Dur("time_left", ar.deadline.Sub(now))
+		if ar.endErr != nil {
+			e = e.Str("no_place", ar.endErr.Error())
+		}
+	}
 	if err == nil {
 		err = ar.abortErr
 	}
