Failing test: a stream that has begun is refused a place like a request that has not

A stream broke off after its objective; the host ended it at once, 100 to 400 ms later, with seconds of the caller's time left, although engines would have taken it within 900 ms.

--- /dev/null
+++ b/internal/gateway/begun_test.go
@@ -0,0 +1,177 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/intake"
+	"github.com/jasminesaddle/jasminesaddle/internal/origin"
+	"github.com/jasminesaddle/jasminesaddle/internal/residency"
+)
+
+// obstacleTime is how long an obstacle lasts after a stream broke off: longer than a request may wait that has
+// missed its objective, shorter than callers wait for the next event.
+const obstacleTime = 900 * time.Millisecond
+
+// brokenStream is a fleet in which the first attempt of a stream breaks off after its objective.
+type brokenStream struct {
+	*harness
+	brokeAt time.Time
+}
+
+// newBrokenStream has servers decline until declinedFor after the break, and then go on with the stream.
+func newBrokenStream(h *harness, declinedFor time.Duration) *brokenStream {
+	b := &brokenStream{harness: h}
+	h.acquire = func(residency.Request) (exchange.Acquired, error) {
+		return exchange.Acquired{}, fault.New(fault.KindOverloaded, "no adapter slot", "again").WithRun(fault.NotRun)
+	}
+	h.respond = func(n int, a Attempt) reply {
+		if n == 0 {
+			b.brokeAt = time.Now().Add(700 * time.Millisecond)
+			return reply{status: 200, body: &body{pieces: []string{event("1"), event("2"), event("3")}, gap: 350 * time.Millisecond, end: errReset}}
+		}
+		if a.AfterEvent != "3" || time.Since(b.brokeAt) < declinedFor {
+			return reply{status: 503, notRun: true}
+		}
+		return reply{status: 200, body: &body{pieces: []string{event("4")}}}
+	}
+	return b
+}
+
+// otherEngines calls edit for all engines but the first.
+func (b *brokenStream) otherEngines(edit func(s *exchange.Server)) {
+	for _, s := range b.view.ByService[llm] {
+		if len(b.sent) == 0 || s.Instance != b.sent[0].instance {
+			edit(s)
+		}
+	}
+}
+
+// loadLater has the adapter at no other engine; a load is refused with the error until the obstacle ends.
+func (b *brokenStream) loadLater(refusal error) {
+	b.acquire = func(residency.Request) (exchange.Acquired, error) {
+		if time.Since(b.brokeAt) < obstacleTime {
+			return exchange.Acquired{}, refusal
+		}
+		b.otherEngines(func(s *exchange.Server) { s.Residents[adapter] = exchange.Resident{Version: 1, ReadyAt: time.Now()} })
+		return exchange.Acquired{}, nil
+	}
+	respond := b.respond
+	b.respond = func(n int, a Attempt) reply {
+		if n == 0 {
+			b.otherEngines(func(s *exchange.Server) { delete(s.Residents, adapter) })
+		}
+		return respond(n, a)
+	}
+}
+
+// Guards against rules for requests that may still be refused: what refuses a request early ends a stream that has begun.
+func TestBegunStreamIsNotRefused(t *testing.T) {
+	for name, obstacle := range map[string]func(b *brokenStream){
+		"engines are full": func(b *brokenStream) {
+			respond := b.respond
+			b.respond = func(n int, a Attempt) reply {
+				b.otherEngines(func(s *exchange.Server) { s.OthersInFlight = 11 }) // 1 s
+				return respond(n, a)
+			}
+		},
+		"engines decline": func(*brokenStream) {},
+		"no adapter slot": func(b *brokenStream) {
+			b.loadLater(fault.New(fault.KindOverloaded, "no adapter slot", "again").WithRun(fault.NotRun))
+		},
+		"no leader": func(b *brokenStream) { b.loadLater(errUnavailable()) },
+		"engines ask for quiet": func(b *brokenStream) {
+			respond := b.respond
+			b.respond = func(n int, a Attempt) reply {
+				if n == 0 {
+					for _, s := range b.view.ByService[llm] {
+						b.g.usage.server(s.Instance).gate.Observe(s.Instance, 0, intake.Statement{Quiet: 700*time.Millisecond + obstacleTime}, time.Now())
+					}
+				}
+				return respond(n, a)
+			}
+		},
+		"engines could not be reached": func(b *brokenStream) {
+			respond := b.respond
+			b.respond = func(n int, a Attempt) reply {
+				for _, at := range []time.Duration{-3 * time.Second, -2 * time.Second, 700 * time.Millisecond} {
+					if n == 0 {
+						b.otherEngines(func(s *exchange.Server) { b.g.usage.recordUnreachable(s.Instance, time.Now().Add(at)) })
+					}
+				}
+				return respond(n, a)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start(t, func(h *harness) {
+				declinedFor := time.Duration(0)
+				if name == "engines decline" {
+					declinedFor = obstacleTime
+				}
+				obstacle(newBrokenStream(h, declinedFor))
+				c, err := h.ask("stream", func(r *Request) { r.Timeout = 6 * time.Second })
+				must.NoError(t, err)
+				must.False(t, c.aborted, must.Sprint("the stream was ended"))
+				must.Eq(t, event("1")+event("2")+event("3")+event("4"), c.String())
+			})
+		})
+	}
+}
+
+// Guards against a relayed rest of a stream that its helper refuses like a request that has not begun.
+func TestBegunStreamIsNotRefusedByHelper(t *testing.T) {
+	start(t, func(h *harness) {
+		h.setBuilds("v1", "v1", "v1")
+		for _, s := range h.view.ByService[llm] {
+			s.OthersInFlight = 11
+		}
+		h.respond = func(int, Attempt) reply { return reply{status: 200, body: &body{pieces: []string{event("4")}}} }
+		c, err := h.ask("stream", func(r *Request) {
+			r.AfterEvent = "3"
+			r.Handover = &Handover{From: "other", Remaining: 2500 * time.Millisecond, MaxRuns: 1, Begun: true, Origin: origin.Origin{Service: llm, Build: "v1"}}
+		})
+		must.NoError(t, err)
+		must.Eq(t, event("4"), c.String())
+	})
+}
+
+// Guards against a stream that is held although it cannot go on in time, and one that floods servers that decline it.
+func TestBegunStreamEndsWhenItCannotGoOn(t *testing.T) {
+	const arrivals = 8
+	for name, tc := range map[string]struct {
+		obstacle func(b *brokenStream)
+		within   time.Duration
+		budget   float64
+	}{
+		"no server of its build": {func(b *brokenStream) { b.setBuilds("v1", "v2", "v3") }, 0, 400},
+		"no engine in time": {func(b *brokenStream) {
+			respond := b.respond
+			b.respond = func(n int, a Attempt) reply {
+				b.otherEngines(func(s *exchange.Server) { s.OthersInFlight = 400 })
+				return respond(n, a)
+			}
+		}, 0, 400},
+		"declined throughout":     {func(*brokenStream) {}, 2 * time.Second, 400},
+		"no budget for a retry":   {func(*brokenStream) {}, 0, 0.1},
+		"the caller's time is up": {func(b *brokenStream) { b.view.Catalog.Routes[2].Timeout = time.Second }, 300 * time.Millisecond, 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start(t, func(h *harness) {
+				h.g.opts.Retries.MinRate, h.g.opts.Retries.Ratio = tc.budget, tc.budget
+				b := newBrokenStream(h, time.Hour)
+				tc.obstacle(b)
+				c, err := h.ask("stream", func(r *Request) { r.Timeout = 6 * time.Second })
+				must.NoError(t, err)
+				must.True(t, c.aborted)
+				must.Eq(t, event("1")+event("2")+event("3"), c.String())
+				must.LessEq(t, tc.within, time.Since(b.brokeAt))
+				must.LessEq(t, arrivals, len(h.sent))
+			})
+		})
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -41,6 +41,8 @@
 	Origin origin.Origin
 	// MaxRuns limits the backend servers that may run the request.
 	MaxRuns int
+	// Begun is true when the caller has events of the response.
+	Begun bool
 }
 
 // Relay has other entry hosts serve requests. Errors are of type *h1.Error. A response with a Refusal
