A stream that has begun waits for a server as long as its caller waits for the next event

Cause: how long an attempt may wait for a server was a part of the objective for the first event, or 200 ms once that had passed. That decides whether to refuse a request early, which is true and useful before it has begun; a response that has begun cannot be refused, and was ended by the same rule. The limits on questions to the leader, on declining servers and on attempts were of the same kind.

Now a begun response may wait until its caller leaves for the pause or its time is over, searches again after 50 to 400 ms, asks servers that declined it again, and makes up to 8 attempts from the same retry budget. It is ended at once when no server of its build is listed, or when all are too busy to begin in time.

--- a/internal/attempts/attempts.go
+++ b/internal/attempts/attempts.go
@@ -20,6 +20,9 @@
 	// Attempts is the maximum number of attempts, Runs the maximum number of
 	// attempts that may have run.
 	Attempts, Runs int
+	// BegunAttempts is Attempts once the response has begun, when it cannot be
+	// refused any more; 0 for the same.
+	BegunAttempts int
 	// MinRemaining is the remaining time that another attempt needs at least.
 	MinRemaining time.Duration
 }
@@ -61,6 +64,8 @@
 	NotRun, Repeatable bool
 	// Remaining is the time until the request's deadline.
 	Remaining time.Duration
+	// Begun is true when the caller has a part of the response.
+	Begun bool
 	// Free is true when the failed attempt cost the backend server nothing, or
 	// the retry has already been taken from the budget.
 	Free bool
@@ -93,8 +98,12 @@
 // budget if so.
 func (a *Attempts) Judge(n Next, budget *retry.Budget, now time.Time) Verdict {
 	neverRan := n.NotRun && a.ran == 0
+	limit := a.limits.Attempts
+	if n.Begun {
+		limit = max(limit, a.limits.BegunAttempts)
+	}
 	switch {
-	case a.attempts >= a.limits.Attempts:
+	case a.attempts >= limit:
 		return NoAttemptLeft
 	case n.Remaining <= a.limits.MinRemaining:
 		return TooLate
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -65,7 +65,9 @@
 	if ar.r.Handover != nil {
 		runs = min(runs, max(ar.r.Handover.MaxRuns, 1))
 	}
-	ar.tries = attempts.New(attempts.Limits{Attempts: maxAttempts, Runs: runs, MinRemaining: minRemaining})
+	ar.tries = attempts.New(attempts.Limits{
+		Attempts: maxAttempts, BegunAttempts: maxBegunAttempts, Runs: runs, MinRemaining: minRemaining,
+	})
 	if !ar.mustRelay() {
 		// A request that is relayed counts where it is served.
 		budget.RecordFirst()
@@ -170,7 +172,7 @@
 	}
 	return attempts.Next{
 		NotRun: outcome == notRun, Repeatable: repeatable, Remaining: ar.deadline.Sub(ar.g.opts.Now()),
-		Free: ar.retryPrepaid.Swap(false),
+		Begun: ar.begun(), Free: ar.retryPrepaid.Swap(false),
 	}
 }
 
@@ -359,7 +361,9 @@
 	}
 	if resp.Misdirected {
 		ar.g.usage.recordUnreachable(p.server.Instance, ar.g.opts.Now())
+		return notRun
 	}
+	ar.declined[p.server.Instance] = true
 	return notRun
 }
 
--- a/internal/gateway/booking.go
+++ b/internal/gateway/booking.go
@@ -34,7 +34,7 @@
 		return turnNow, nil
 	}
 	now := ar.g.opts.Now()
-	b := prompts.Booking{Instance: p.server.Instance, Tokens: p.tokens, MaxWait: ar.maxWait(now)}
+	b := prompts.Booking{Instance: p.server.Instance, Tokens: p.tokens, MaxWait: ar.usefulWait(now)}
 	askedAll := ar.askedAll || others == 0
 	if !askedAll {
 		b.MaxWait = min(b.MaxWait, alternativeWait)
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -63,21 +63,41 @@
 	return ar.route.Objective
 }
 
-// maxWait returns how long the request may wait before it begins at a server.
+// maxWait returns how long the next attempt may wait before it begins at a server.
 func (ar *activeRequest) maxWait(now time.Time) time.Duration {
+	if ar.begun() {
+		return ar.continuation().TimeLeft(now)
+	}
+	return ar.usefulWait(now)
+}
+
+// usefulWait returns how long the request may wait at a server without losing its objective, or delaying others if it has
+// lost it.
+func (ar *activeRequest) usefulWait(now time.Time) time.Duration {
 	remaining := time.Duration(float64(ar.objective())*waitFraction) - now.Sub(ar.r.Received)
 	return min(max(remaining, minMaxWait), ar.deadline.Sub(now))
 }
 
-// placeAttempt chooses the server of the next attempt. It waits for an adapter
-// that has to be loaded.
+// placeAttempt chooses the server of the next attempt. A response that has begun waits for one.
 func (ar *activeRequest) placeAttempt(ctx context.Context) (placement, error) {
+	ar.awaitAfterDecline(ctx)
+	for {
+		p, err := ar.searchServer(ctx)
+		if err == nil || !ar.awaitPlace(ctx, err) {
+			return p, err
+		}
+	}
+}
+
+// searchServer chooses a server. It waits for an adapter that has to be loaded.
+func (ar *activeRequest) searchServer(ctx context.Context) (placement, error) {
 	ar.askedAll = false
 	clear(ar.crowded)
 	for {
 		now := ar.g.opts.Now()
 		v := ar.g.opts.Fleet.View()
-		p, d, eligible := ar.chooseServer(v, now)
+		p, d, eligible := ar.chooseServer(v, now, ar.maxWait(now))
+		ar.noneInTime = d.Best != "" && d.Instance == ""
 		if d.Instance != "" {
 			if !ar.g.usage.takeTurn(d.Instance, ar.hosts(v), now) {
 				continue // another request took the turn
@@ -115,11 +135,11 @@
 }
 
 // chooseServer chooses between the servers that have what the request needs.
-func (ar *activeRequest) chooseServer(v *exchange.View, now time.Time) (placement, balance.Decision, []string) {
+func (ar *activeRequest) chooseServer(v *exchange.View, now time.Time, maxWait time.Duration) (placement, balance.Decision, []string) {
 	servers := ar.eligibleServers(v, now)
 	candidates := ar.candidates(v, servers, now)
 	request := balance.Request{
-		Generation: ar.r.Generation, PromptTokens: ar.r.PromptTokens, ServiceTime: generationServiceTime, MaxWait: ar.maxWait(now),
+		Generation: ar.r.Generation, PromptTokens: ar.r.PromptTokens, ServiceTime: generationServiceTime, MaxWait: maxWait,
 	}
 	if !ar.r.Generation {
 		request.ServiceTime = ar.g.usage.meanServiceTime(instances(servers))
@@ -281,7 +301,7 @@
 // shouldLoad reports whether another engine should load the adapter: no engine
 // has it, or all that do are so busy that a load elsewhere is quicker.
 func (ar *activeRequest) shouldLoad(v *exchange.View, d balance.Decision, eligible []string, now time.Time) bool {
-	if ar.loads >= maxLoads || ar.build.Load() != nil && !ar.hasUsableServer(v) {
+	if ar.loads >= ar.loadLimit || ar.build.Load() != nil && !ar.hasUsableServer(v) {
 		return false
 	}
 	if d.Best == "" {
@@ -299,7 +319,7 @@
 }
 
 const (
-	// maxLoads limits how often one request asks the leader for an engine.
+	// maxLoads limits how often one search for a server asks the leader for an engine.
 	maxLoads = 4
 	// acquireRetryInterval is the time between two requests to the leader for
 	// an engine.
@@ -326,7 +346,7 @@
 	if err == nil {
 		return nil
 	}
-	if fault.Is(err, fault.KindOverloaded) && ar.loads < maxLoads && ar.maxWait(ar.g.opts.Now()) > acquireRetryInterval {
+	if fault.Is(err, fault.KindOverloaded) && !ar.begun() && ar.loads < ar.loadLimit && ar.maxWait(ar.g.opts.Now()) > acquireRetryInterval {
 		// An adapter slot may be free soon, and the request can still meet its objective.
 		sleep(ctx, acquireRetryInterval)
 		return nil
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -54,11 +54,16 @@
 	parts [][]byte
 
 	tries attempts.Attempts
-	// loads counts the requests to the leader for an engine with the adapter.
-	loads int
+	// loads counts the requests to the leader for an engine with the adapter, up to loadLimit.
+	loads, loadLimit int
 	// excluded holds the instances that the request was already sent to,
 	// missing those that lack the adapter.
 	excluded, missing map[string]bool
+	// declined holds those of the excluded instances that declined the request without running it, searches counts
+	// the pauses of a begun response, and noneInTime is true when all servers with what it needs are too busy.
+	declined   map[string]bool
+	searches   int
+	noneInTime bool
 	// attemptLog holds what is logged of each attempt.
 	attemptLog   []attemptRecord
 	events       eventReader
@@ -119,7 +124,8 @@
 func (g *Gateway) Serve(ctx context.Context, r *Request, w Responder) error {
 	g.addRunning(1)
 	defer g.addRunning(-1)
-	ar := &activeRequest{g: g, r: r, w: w, excluded: map[string]bool{}, missing: map[string]bool{}, helpers: map[string]bool{}, crowded: map[string]bool{}}
+	ar := &activeRequest{g: g, r: r, w: w, excluded: map[string]bool{}, missing: map[string]bool{}, helpers: map[string]bool{}, crowded: map[string]bool{},
+		declined: map[string]bool{}, loadLimit: maxLoads}
 	defer func() { g.buffers.give(ar.buffered) }()
 	err := ar.serve(ctx)
 	err = ar.tries.FinalError(err)
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -80,7 +80,7 @@
 // server has been silent long enough to ask for an adapter load.
 func (w *silenceWatch) canMove(silent time.Duration, now time.Time) bool {
 	v := w.ar.g.opts.Fleet.View()
-	_, d, _ := w.ar.chooseServer(v, now)
+	_, d, _ := w.ar.chooseServer(v, now, w.ar.usefulWait(now))
 	if d.Instance != "" {
 		return true
 	}
