--- a/internal/gateway/begun_test.go
+++ b/internal/gateway/begun_test.go
@@ -123,21 +123,65 @@
 	}
 }
 
-// Guards against a relayed rest of a stream that its helper refuses like a request that has not begun.
+// Guards against the rest of a stream that a helper refuses like a request that has not begun: because its engines are
+// full, or because it has no leader to record the stream, which its first host has recorded.
 func TestBegunStreamIsNotRefusedByHelper(t *testing.T) {
-	start(t, func(h *harness) {
-		h.setBuilds("v1", "v1", "v1")
-		for _, s := range h.view.ByService[llm] {
-			s.OthersInFlight = 11
-		}
-		h.respond = func(int, Attempt) reply { return reply{status: 200, body: &body{pieces: []string{event("4")}}} }
-		c, err := h.ask("stream", func(r *Request) {
-			r.AfterEvent = "3"
-			r.Handover = &Handover{From: "other", Remaining: 2500 * time.Millisecond, MaxRuns: 1, Begun: true, Origin: origin.Origin{Service: llm, Build: "v1"}}
+	for name, obstacle := range map[string]func(h *harness){
+		"engines are full": func(h *harness) {
+			for _, s := range h.view.ByService[llm] {
+				s.OthersInFlight = 11
+			}
+		},
+		"leader lost": func(h *harness) {
+			h.view.Confirmed, h.recordErr = time.Now().Add(-2*maxRecordingViewAge), errUnavailable()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start(t, func(h *harness) {
+				h.setBuilds("v2", "v2", "v2")
+				h.setRecordedBuilds("v1", "v2")
+				obstacle(h)
+				h.acquire = func(residency.Request) (exchange.Acquired, error) { return exchange.Acquired{}, errUnavailable() }
+				h.respond = func(int, Attempt) reply { return reply{status: 200, body: &body{pieces: []string{event("4")}}} }
+				c, err := h.ask("stream", func(r *Request) {
+					r.AfterEvent = "3"
+					r.Handover = &Handover{
+						From: "other", Remaining: 2500 * time.Millisecond, MaxRuns: 1, Begun: true, Origin: origin.Origin{Service: llm, Build: "v2"},
+					}
+				})
+				must.NoError(t, err)
+				must.Eq(t, event("4"), c.String())
+			})
+		})
+	}
+}
+
+// Guards against a relayed stream that is ended because helpers refuse the rest of it.
+func TestBegunStreamIsNotEndedByHelpers(t *testing.T) {
+	for _, kind := range []fault.Kind{fault.KindOverloaded, fault.KindNoBackend, fault.KindUnavailable, fault.KindStaleView} {
+		t.Run(string(kind), func(t *testing.T) {
+			start(t, func(h *harness) {
+				var brokeAt time.Time
+				f := h.cutOff(func(n int) (*Response, error) {
+					switch {
+					case n == 0:
+						brokeAt = time.Now()
+						return relayedStream("v1", errReset, event("1"), event("2")), nil
+					case time.Since(brokeAt) < obstacleTime:
+						return refusal(kind, fault.NotRun), nil
+					}
+					return relayedStream("v1", nil, event("3")), nil
+				})
+				c, err := h.ask("stream", func(r *Request) { r.Timeout = 3 * time.Second })
+				must.NoError(t, err)
+				must.False(t, c.aborted, must.Sprint("the stream was ended"))
+				must.Eq(t, event("1")+event("2")+event("3"), c.String())
+				for i, s := range f.sent {
+					must.Eq(t, i > 0, s.handover.Begun)
+				}
+			})
 		})
-		must.NoError(t, err)
-		must.Eq(t, event("4"), c.String())
-	})
+	}
 }
 
 // Guards against a stream that is held although it cannot go on in time, and one that floods servers that decline it.
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -59,8 +59,8 @@
 
 // isTraceable reports whether a stream that begins at the server can be taken up later.
 func (ar *activeRequest) isTraceable(v *exchange.View, s *exchange.Server, now time.Time) bool {
-	if !ar.traced() || !v.BuildsKnown {
-		return true
+	if !ar.traced() || !v.BuildsKnown || ar.begun() {
+		return true // the build of a begun stream is known wherever that has to be recorded
 	}
 	o := origin.Origin{Service: s.Service, Build: s.Build}
 	if ar.record.Origin == o {
@@ -84,7 +84,7 @@
 // neither recorded nor certain must not be sent.
 func (ar *activeRequest) recordOrigin(ctx context.Context, p placement, now time.Time) error {
 	v := ar.g.opts.Fleet.View()
-	if !ar.traced() || !v.BuildsKnown {
+	if !ar.traced() || !v.BuildsKnown || ar.begun() {
 		return nil
 	}
 	o := origin.Origin{Service: p.server.Service, Build: p.server.Build}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -146,9 +146,9 @@
 
 // attemptByRelay has another host serve the request, and relays its response.
 func (ar *activeRequest) attemptByRelay(ctx context.Context, last *errorResponse) (step, bool) {
-	v := ar.g.opts.Fleet.View()
-	helper, ok := ar.g.relays.choose(v.Helpers, ar.g.opts.FailureDomain, ar.helpers, ar.g.opts.Now())
-	if !ok || len(ar.helpers) >= maxHelpers && !ar.started {
+	ar.awaitAfterDecline(ctx)
+	helper, ok := ar.chooseHelper(ctx)
+	if !ok {
 		return step{failure: fault.New(fault.KindNoBackend, "this host reaches no backend server, and no other host serves the request for it",
 			"send the request to another host").WithRun(fault.NotRun).After(helperRetryAfter)}, false
 	}
@@ -165,7 +165,7 @@
 	case err != nil:
 		st.outcome, st.failure = ar.handleRelayError(ctx, err)
 	case resp.Refusal != nil:
-		st.outcome, st.failure = ar.handleRefusal(resp.Refusal)
+		st.outcome, st.failure = ar.handleRefusal(helper, resp.Refusal)
 	default:
 		defer resp.Body.Close()
 		if resp.LeavingServer != nil {
@@ -174,7 +174,7 @@
 		ar.tries.MayHaveRun()
 		st.build = resp.Origin.Build
 		if st.build != "" {
-			if err := ar.setService(v, resp.Origin.Service); err != nil {
+			if err := ar.setService(ar.g.opts.Fleet.View(), resp.Origin.Service); err != nil {
 				return step{failure: err}, false
 			}
 			ar.unbound = false
@@ -188,6 +188,21 @@
 	return st, true
 }
 
+// chooseHelper returns the helper of the next attempt. A response that has begun waits for one that takes it.
+func (ar *activeRequest) chooseHelper(ctx context.Context) (exchange.Helper, bool) {
+	for {
+		helpers := ar.g.opts.Fleet.View().Helpers
+		helper, ok := ar.g.relays.choose(helpers, ar.g.opts.FailureDomain, ar.helpers, ar.g.opts.Now())
+		switch {
+		case ok && (ar.begun() || len(ar.helpers) < maxHelpers):
+			return helper, true
+		case !ar.begun() || len(helpers) == 0 || !ar.pause(ctx):
+			return exchange.Helper{}, false
+		}
+		clear(ar.helpers)
+	}
+}
+
 // relayedRequest returns the request as the helper gets it.
 func (ar *activeRequest) relayedRequest() *Request {
 	r := *ar.r
@@ -200,7 +215,7 @@
 }
 
 func (ar *activeRequest) handover(now time.Time) Handover {
-	h := Handover{Remaining: ar.deadline.Sub(now) - hopMargin, MaxRuns: ar.tries.RunsLeft()}
+	h := Handover{Remaining: ar.deadline.Sub(now) - hopMargin, MaxRuns: ar.tries.RunsLeft(), Begun: ar.begun()}
 	if ar.build.Load() != nil {
 		h.Origin = ar.origin()
 	}
@@ -226,8 +241,8 @@
 }
 
 // handleRefusal handles a helper's own error. Another helper is asked only if this one takes no
-// requests, or has another catalog than this host, which found the route and the team.
-func (ar *activeRequest) handleRefusal(refusal *fault.Error) (attemptOutcome, error) {
+// requests, or has another catalog than this host, which found the route and the team, or if the response has begun.
+func (ar *activeRequest) handleRefusal(helper exchange.Helper, refusal *fault.Error) (attemptOutcome, error) {
 	switch {
 	case refusal.Run != fault.NotRun:
 		ar.tries.MayHaveRun()
@@ -237,7 +252,8 @@
 			"send the request again").WithRun(fault.NotRun).After(helperRetryAfter)
 		ar.retryPrepaid.Store(true)
 		return notRun, refusal
-	case refusal.Kind == fault.KindUnavailable:
+	case refusal.Kind == fault.KindUnavailable, ar.begun() && refusal.Kind != fault.KindQuarantined:
+		ar.declined[helper.Host] = true
 		ar.retryPrepaid.Store(true)
 		return notRun, refusal
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,6 +26,7 @@
 		Generation: r.Generation, Model: r.Weights.Model, Adapter: r.Weights.Adapter,
 		PromptTokens: uint32(r.PromptTokens), OutputTokens: uint32(r.OutputTokens),
 		Service: h.Origin.Service, Build: h.Origin.Build, MaxRuns: uint32(h.MaxRuns), From: from,
+		Begun: h.Begun,
 	}
 	for _, f := range r.Fields {
 		out.Fields = append(out.Fields, &apiv1.RelayField{Name: f.Name, Value: f.Value})
@@ -48,6 +49,7 @@
 		Handover: &gateway.Handover{
 			From: m.GetFrom(), Remaining: time.Duration(m.GetRemainingMs()) * time.Millisecond,
 			Origin: origin.Origin{Service: m.GetService(), Build: m.GetBuild()}, MaxRuns: int(m.GetMaxRuns()),
+			Begun: m.GetBegun(),
 		},
 	}
 	for _, f := range m.GetFields() {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -241,3 +241,12 @@
 		_ = resp.Body.Close()
 	}
 }
+
+// Guards against a helper that takes the rest of a begun stream for a new request, or runs it without its limits.
+func TestHandoverArrivesWhole(t *testing.T) {
+	want := gateway.Handover{
+		From: "h9", Remaining: 2 * time.Second, Origin: origin.Origin{Service: "s", Build: "v2"}, MaxRuns: 3, Begun: true,
+	}
+	got := decodeRequest(encodeRequest("h9", &gateway.Request{}, want), time.Now())
+	must.Eq(t, want, *got.Handover)
+}
