A begun stream of the OpenAI-style interface is resumed for as long as its caller waits

Callers saw an error event in the middle of their stream 0.3 s after its connection broke, when its engine was up and had no room to resume it at once. Cause: three attempts in 300 ms, however they failed, the rule for requests that can be sent elsewhere; a begun stream can go on at its engine only. Attempts that the engine had no room for (503, 429) or that did not reach it are now limited by package attempts' Continuation, as on the platform's interface; an engine that no longer has the stream still ends it at once. Evidence: TestCutStreams/no_room_at_first failed before.

--- a/internal/engine/complete.go
+++ b/internal/engine/complete.go
@@ -75,7 +75,11 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		resp.Body.Close()
-		return nil, c.errorf(ResponseStarted, fault.KindStreamCut, "send the request again",
+		kind := fault.KindStreamCut
+		if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+			kind = fault.KindOverloaded
+		}
+		return nil, c.errorf(ResponseStarted, kind, "send the request again",
 			"refused to resume the stream with status %d", resp.StatusCode).withRan()
 	}
 	return c.openStream(resp, after)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -5,13 +5,15 @@
 	"net/http"
 	"time"
 
+	"github.com/jasminesaddle/jasminesaddle/internal/attempts"
 	"github.com/jasminesaddle/jasminesaddle/internal/engine"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/openai"
 	"github.com/jasminesaddle/jasminesaddle/internal/quarantine"
 )
 
-// maxResumes limits the attempts to resume a stream after its last event.
+// maxResumes limits the attempts to resume a stream after its last event. Those that an engine had no room for, or that
+// did not reach it, are limited by time instead once the stream has begun.
 const maxResumes = 3
 
 // stream passes the events of one engine stream on to the caller.
@@ -22,6 +24,7 @@
 	// lastSeq is the sequence number of the last event that was passed on.
 	lastSeq      uint64
 	resumes      int // since the last event
+	lastEventAt  time.Time
 	outputTokens uint64
 	buf          []byte
 	deadline     time.Time
@@ -32,7 +35,7 @@
 // with the first event, so that a failure before it can still be retried or
 // returned as an error response.
 func (s *Server) relayEvents(ctx context.Context, a *attempt, events *engine.Stream) (attemptOutcome, error) {
-	st := &stream{a: a, events: events, control: http.NewResponseController(a.request.x.w)}
+	st := &stream{a: a, events: events, control: http.NewResponseController(a.request.x.w), lastEventAt: s.now()}
 	defer func() { _ = st.events.Close() }()
 	s.recordAnswer(a, quarantine.AnswerStarted)
 	received := 0
@@ -75,7 +78,7 @@
 		x.writeHeader(http.StatusOK)
 		st.a.call.body = nil // not needed: no other attempt can follow
 	}
-	st.lastSeq = ev.Seq
+	st.lastSeq, st.lastEventAt = ev.Seq, s.now()
 	st.resumes = 0
 	if total, ok := openai.Usage(ev.Data); ok && total > st.a.call.promptTokens {
 		st.outputTokens = total - st.a.call.promptTokens
@@ -115,8 +118,8 @@
 		s.recordOutcome(a.assignment.server, false)
 		return final, s.endStream(st, backendFailed(cause, "the engine crashed while it ran the request", fault.OutcomeUnknown))
 	}
-	for ; st.resumes < maxResumes; st.resumes++ {
-		if st.resumes > 0 && !sleep(ctx, time.Duration(st.resumes)*100*time.Millisecond) {
+	for tries := st.resumes; st.resumes < maxResumes; tries++ {
+		if tries > 0 && !s.awaitResume(ctx, st, tries) {
 			break
 		}
 		next, err := a.client.Resume(ctx, a.id, st.lastSeq, s.limits.StreamGap)
@@ -129,6 +132,9 @@
 			return final, nil
 		}
 		cause = err
+		if !a.request.x.started || !mayAccept(err) {
+			st.resumes++
+		}
 	}
 	s.recordOutcome(a.assignment.server, false)
 	s.cancelInBackground(a)
@@ -143,6 +149,18 @@
 	return retryable, s.endStream(st, fault.Wrap(cause, kind, message, "send the request again").WithRun(fault.OutcomeUnknown))
 }
 
+// mayAccept reports whether the engine may still accept the resume that failed: it had no room, or was not reached.
+func mayAccept(err error) bool {
+	return engine.PhaseOf(err) != engine.ResponseStarted || fault.Is(err, fault.KindOverloaded)
+}
+
+// awaitResume waits before the next attempt to resume a stream, and reports false when its caller does not wait that long.
+func (s *Server) awaitResume(ctx context.Context, st *stream, tries int) bool {
+	c := attempts.Continuation{Deadline: st.lastEventAt.Add(s.limits.StreamGap), LastEvent: st.lastEventAt}
+	pause, ok := c.Pause(tries, s.now())
+	return ok && sleep(ctx, pause)
+}
+
 // endStream writes an error event to a stream that has begun. Before the first
 // event it returns err unchanged. It never writes the end marker.
 func (s *Server) endStream(st *stream, err error) error {
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -50,6 +50,8 @@
 		"resumed":          {faults: standin.Faults{CutStreams: 1, CutAfter: 3}, whole: true},
 		"resumed twice":    {faults: standin.Faults{CutStreams: 2, CutAfter: 3}, whole: true},
 		"repeat at resume": {faults: standin.Faults{CutStreams: 1, CutAfter: 3, RepeatOnResume: 1}, whole: true},
+		"no room at first": {faults: standin.Faults{CutStreams: 1, CutAfter: 3, RefuseResume: 5}, whole: true},
+		"no room":          {faults: standin.Faults{CutStreams: 1, CutAfter: 3, RefuseResume: -1}, kind: "stream_cut"},
 		"gap at resume":    {faults: standin.Faults{CutStreams: 1, CutAfter: 3, SkipOnResume: 1}, whole: true},
 		"gap at each":      {faults: standin.Faults{CutStreams: 1, CutAfter: 3, SkipOnResume: -1}, kind: "stream_cut"},
 		"not kept":         {faults: standin.Faults{CutStreams: 1, CutAfter: 3}, window: time.Nanosecond, kind: "stream_cut"},
--- a/internal/standin/complete.go
+++ b/internal/standin/complete.go
@@ -243,6 +243,10 @@
 // resume serves the rest of a stream, from the event after Last-Event-ID.
 func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
 	e.observe(r, nil)
+	if e.consumeFault(func(f *Faults) *int { return &f.RefuseResume }) {
+		writeError(w, http.StatusServiceUnavailable, "no room")
+		return
+	}
 	run := e.currentRun()
 	e.mu.Lock()
 	s, ok := run.streams[r.PathValue("id")]
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -31,6 +31,8 @@
 	// sends the last event before it once more.
 	SkipOnResume   int `json:"skip_on_resume,omitempty"`
 	RepeatOnResume int `json:"repeat_on_resume,omitempty"`
+	// RefuseResume refuses to resume streams with status 503.
+	RefuseResume int `json:"refuse_resume,omitempty"`
 	// Hang makes requests run without ever getting a response.
 	Hang int `json:"hang,omitempty"`
 	// Refuse makes requests fail with RefuseStatus before they run. It applies only
