--- a/internal/attempts/attempts.go
+++ b/internal/attempts/attempts.go
@@ -115,7 +115,7 @@
 		return Allowed
 	case n.HasOther != nil && !n.HasOther():
 		return NoOtherServer
-	case !budget.Take(now):
+	case n.Begun && !budget.TakeReserved(now), !n.Begun && !budget.Take(now):
 		return NoBudget
 	}
 	return Allowed
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -161,7 +161,15 @@
 	case ar.suspect:
 		return endSuspect
 	}
-	return endReason(ar.tries.Judge(ar.next(outcome), budget, ar.g.opts.Now()))
+	next := ar.next(outcome)
+	for {
+		verdict := ar.tries.Judge(next, budget, ar.g.opts.Now())
+		// A begun response waits for the budget to allow the attempt.
+		if verdict != attempts.NoBudget || !next.Begun || !ar.pause(ctx) {
+			return endReason(verdict)
+		}
+		next.Remaining = ar.deadline.Sub(ar.g.opts.Now())
+	}
 }
 
 // next describes the request after a failed attempt.
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -16,6 +16,8 @@
 	MinRate float64
 	// MaxSaved is the maximum number of retries earned by Ratio and not yet used.
 	MaxSaved float64
+	// Reserved is the number of saved retries that only TakeReserved uses.
+	Reserved float64
 }
 
 // Defaults returns the default limits: 10% of first attempts plus three
@@ -44,7 +46,12 @@
 }
 
 // Take reports whether a retry is allowed at now and counts it.
-func (b *Budget) Take(now time.Time) bool {
+func (b *Budget) Take(now time.Time) bool { return b.take(now, b.opts.Reserved) }
+
+// TakeReserved is Take for a request that cannot be refused any more, which may also use the reserved retries.
+func (b *Budget) TakeReserved(now time.Time) bool { return b.take(now, 0) }
+
+func (b *Budget) take(now time.Time, reserved float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.last.IsZero() {
@@ -56,7 +63,7 @@
 	case b.guaranteed >= 1:
 		b.guaranteed--
 	// Ten additions of 0.1 in floating point give slightly less than 1.
-	case b.earned >= 1-1e-6:
+	case b.earned >= reserved+1-1e-6:
 		b.earned = max(b.earned-1, 0)
 	default:
 		return false
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -53,3 +53,21 @@
 	}
 	must.Eq(t, 10, allowed)
 }
+
+// Requests that can be refused must leave the reserved retries to those that cannot, and both together must not exceed the limit.
+func TestReservedRetries(t *testing.T) {
+	b := NewBudget(Options{Ratio: 0.1, MaxSaved: 10, Reserved: 4})
+	now := time.Unix(0, 0)
+	for range 1000 {
+		b.RecordFirst()
+	}
+	taken, reserved := 0, 0
+	for b.Take(now) {
+		taken++
+	}
+	for b.TakeReserved(now) {
+		reserved++
+	}
+	must.Eq(t, 6, taken)
+	must.Eq(t, 4, reserved)
+}
