Whether a response has begun is read atomically by the silence watch

Found by reading: since begun streams need no record of their origin, the choice of a server reads it, which the watch's timer does beside the request. No run showed the race.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -175,7 +175,7 @@
 // next describes the request after a failed attempt.
 func (ar *activeRequest) next(outcome attemptOutcome) attempts.Next {
 	repeatable := ar.route.Repeatable
-	if ar.started && (!ar.route.Resumable || ar.events.lastID == "") {
+	if ar.started.Load() && (!ar.route.Resumable || ar.events.lastID == "") {
 		repeatable = false
 	}
 	return attempts.Next{
@@ -187,7 +187,7 @@
 // endUndelivered ends a request that no attempt delivered.
 func (ar *activeRequest) endUndelivered(errResp *errorResponse, failure error) error {
 	switch {
-	case ar.started:
+	case ar.started.Load():
 		ar.abortErr = failure
 		ar.g.metrics.streamsCut.Add(string(ar.end), 1)
 		ar.w.Abort()
--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -15,7 +15,7 @@
 // begun reports whether the caller has a part of the response, here or at the host that relays it. Such a request
 // cannot be refused any more.
 func (ar *activeRequest) begun() bool {
-	return ar.started || ar.r.Handover != nil && ar.r.Handover.Begun
+	return ar.started.Load() || ar.r.Handover != nil && ar.r.Handover.Begun
 }
 
 func (ar *activeRequest) continuation() attempts.Continuation {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -67,7 +67,6 @@
 	// attemptLog holds what is logged of each attempt.
 	attemptLog   []attemptRecord
 	events       eventReader
-	started      bool
 	firstEventAt time.Time
 	// lastEventAt is when the last events were passed on, and longestPause the longest time between two.
 	lastEventAt  time.Time
@@ -101,6 +100,8 @@
 	// only a helper may find, since this host was cut off.
 	helpers map[string]bool
 	unbound bool
+	// started is true once the response has begun; the silence watch reads it too.
+	started atomic.Bool
 	// pinned is true once the response has begun and cannot be resumed at
 	// another server.
 	pinned atomic.Bool
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -71,7 +71,7 @@
 		ar.firstEventAt = now
 		ar.g.metrics.first.Observe(now.Sub(ar.r.Received))
 	}
-	if ar.started {
+	if ar.started.Load() {
 		ar.g.metrics.resumed.Add(1)
 	}
 }
@@ -96,10 +96,11 @@
 }
 
 func (ar *activeRequest) start(p placement, resp *Response) {
-	if ar.started {
+	if ar.started.Load() {
 		return
 	}
-	ar.started, ar.status = true, resp.Status
+	ar.started.Store(true)
+	ar.status = resp.Status
 	if w, ok := ar.w.(OriginResponder); ok {
 		w.SetOrigin(ar.origin())
 	}
