Failing test: a begun stream is broken off for silence before another server has taken it

The record has 1.202 s between the start of the run and its end, and silenceTimeout is 1.2 s: the host broke the stream off, not the engine. A sound engine may pause for a second or so. Raised by a reviewer from the trace.

--- a/internal/gateway/begun_test.go
+++ b/internal/gateway/begun_test.go
@@ -283,3 +283,26 @@
 	})
 	return count, reasons
 }
+
+// Guards against a sound server that falls silent for a second or so: a begun stream was broken off although no other server had
+// taken it.
+func TestBegunStreamOutlivesPauseOfItsServer(t *testing.T) {
+	for _, pause := range []time.Duration{1300 * time.Millisecond, 1800 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			start(t, func(h *harness) {
+				h.view.Catalog.Routes[2].Gap = 400 * time.Millisecond
+				h.respond = func(n int, _ Attempt) reply {
+					if n == 0 {
+						return reply{status: 200, body: &body{pieces: []string{event("1"), event("2")}, gap: pause}}
+					}
+					return reply{status: 503, notRun: true}
+				}
+				c, err := h.ask("stream", func(r *Request) { r.Timeout = 6 * time.Second })
+				must.NoError(t, err)
+				must.False(t, c.aborted)
+				must.Eq(t, event("1")+event("2"), c.String())
+				must.Len(t, 1, h.sent)
+			})
+		})
+	}
+}
