A begun stream stays at a silent server for as long as its caller leaves time to move

Cause: the limit on silence is one for requests that can be sent elsewhere at the cost of a retry. A begun stream that is broken off before another server has it is lost if none takes it.

Its limit is now what its caller waits for the next event, or has left, less 1.2 s to go on elsewhere, and 1.2 s at least: 2 s on routes with a gap of 400 ms. It may use the reserved retries. Event server_silent says when a request leaves its server.

--- a/internal/attempts/attempts_test.go
+++ b/internal/attempts/attempts_test.go
@@ -79,3 +79,36 @@
 	must.NotEq(t, one, Fingerprint([]byte("a"), []byte("bc")))
 	must.Eq(t, one, Fingerprint([]byte("ab"), []byte("c")))
 }
+
+// A begun stream must neither outstay its caller nor leave a sound server that pauses, and must have time to move.
+func TestContinuation(t *testing.T) {
+	ms := time.Millisecond
+	t0 := time.Unix(1000, 0)
+	for name, tc := range map[string]struct {
+		c             Continuation
+		left, silence time.Duration
+	}{
+		"shortest patience":   {Continuation{Deadline: t0.Add(time.Minute), LastEvent: t0}, 2000 * ms, 800 * ms},
+		"by the objective":    {Continuation{Deadline: t0.Add(time.Minute), LastEvent: t0, Objective: time.Second}, 4000 * ms, 2800 * ms},
+		"by the gap":          {Continuation{Deadline: t0.Add(time.Minute), LastEvent: t0, Gap: 400 * ms}, 3200 * ms, 2000 * ms},
+		"by the deadline":     {Continuation{Deadline: t0.Add(1500 * ms), LastEvent: t0, Gap: 400 * ms}, 1500 * ms, 300 * ms},
+		"less the prompt":     {Continuation{Deadline: t0.Add(time.Minute), LastEvent: t0, Begin: 300 * ms}, 1700 * ms, 800 * ms},
+		"the deadline passed": {Continuation{Deadline: t0.Add(-ms), LastEvent: t0}, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			must.Eq(t, tc.left, tc.c.TimeLeft(t0))
+			must.Eq(t, tc.silence, tc.c.MaxSilence())
+			waited, now := time.Duration(0), t0
+			for n := 1; ; n++ {
+				pause, ok := tc.c.Pause(n, now)
+				if !ok {
+					break
+				}
+				must.Between(t, 50*ms, pause, 400*ms)
+				now, waited = now.Add(pause), waited+pause
+			}
+			must.LessEq(t, tc.left, waited)
+			must.GreaterEq(t, tc.left-100*ms, waited)
+		})
+	}
+}
--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -18,15 +18,20 @@
 	return ar.started.Load() || ar.r.Handover != nil && ar.r.Handover.Begun
 }
 
-func (ar *activeRequest) continuation() attempts.Continuation {
-	c := attempts.Continuation{
-		Deadline: ar.deadline, LastEvent: ar.lastEventAt, Objective: ar.objective(), Gap: ar.route.Gap,
+// continuation describes the begun response, whose caller got its last event at the time.
+func (ar *activeRequest) continuation(lastEvent time.Time) attempts.Continuation {
+	return attempts.Continuation{
+		Deadline: ar.deadline, LastEvent: lastEvent, Objective: ar.objective(), Gap: ar.route.Gap,
 		Begin: time.Duration(float64(ar.r.PromptTokens) / ar.g.opts.Balance.TokensPerMS * float64(time.Millisecond)),
 	}
-	if c.LastEvent.IsZero() {
-		c.LastEvent = ar.r.Received
+}
+
+// lastEvent returns when the caller got its last event.
+func (ar *activeRequest) lastEvent() time.Time {
+	if ar.lastEventAt.IsZero() {
+		return ar.r.Received
 	}
-	return c
+	return ar.lastEventAt
 }
 
 // awaitPlace waits before the servers are searched again for a begun response, for which the last search found none. It
@@ -54,7 +59,7 @@
 // pause waits before the next search, and reports false when there is no time for it.
 func (ar *activeRequest) pause(ctx context.Context) bool {
 	ar.searches++
-	wait, ok := ar.continuation().Pause(ar.searches, ar.g.opts.Now())
+	wait, ok := ar.continuation(ar.lastEvent()).Pause(ar.searches, ar.g.opts.Now())
 	return ok && sleep(ctx, wait)
 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -66,7 +66,7 @@
 // maxWait returns how long the next attempt may wait before it begins at a server.
 func (ar *activeRequest) maxWait(now time.Time) time.Duration {
 	if ar.begun() {
-		return ar.continuation().TimeLeft(now)
+		return ar.continuation(ar.lastEvent()).TimeLeft(now)
 	}
 	return ar.usefulWait(now)
 }
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -8,7 +8,8 @@
 
 const (
 	// silenceTimeout is how long an engine may send nothing to any request of
-	// this host before a repeatable request is sent elsewhere. It is far above
+	// this host before a repeatable request is sent elsewhere. A response that
+	// has begun stays longer, by Continuation.MaxSilence. It is far above
 	// the time of one chunk of a prompt and below the time after which callers
 	// give up.
 	silenceTimeout = 1200 * time.Millisecond
@@ -56,18 +57,36 @@
 	}
 	now := w.ar.g.opts.Now()
 	silent := now.Sub(w.lastSeen())
-	if silent < silenceTimeout {
-		w.timer.Reset(silenceTimeout - silent)
+	if limit := w.limit(); silent < limit {
+		w.timer.Reset(limit - silent)
 		return
 	}
-	if w.ar.pinned.Load() || !w.canMove(silent, now) || !w.ar.g.budget(w.ar.service.Name).Take(now) {
+	if w.ar.pinned.Load() || !w.canMove(silent, now) || !w.takeRetry(now) {
 		w.timer.Reset(silencePollInterval)
 		return
 	}
 	w.ar.retryPrepaid.Store(true)
+	w.ar.g.log.Info().Str("event", "server_silent").Str("request", w.ar.r.ID).Str("server", w.instance).Dur("silent", silent).
+		Bool("begun", w.ar.begun()).Msg("the request leaves a backend server that sends nothing")
 	w.cancel()
 }
 
+// limit returns how long the server may be silent. A response that has begun is lost if no other server takes it.
+func (w *silenceWatch) limit() time.Duration {
+	if w.ar.begun() {
+		return max(silenceTimeout, w.ar.continuation(w.lastSeen()).MaxSilence())
+	}
+	return silenceTimeout
+}
+
+func (w *silenceWatch) takeRetry(now time.Time) bool {
+	budget := w.ar.g.budget(w.ar.service.Name)
+	if w.ar.begun() {
+		return budget.TakeReserved(now)
+	}
+	return budget.Take(now)
+}
+
 func (w *silenceWatch) lastSeen() time.Time {
 	seen := w.ar.g.usage.lastSeen(w.instance)
 	if seen.Before(w.began) {
