--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -24,7 +24,6 @@
 	// lastSeq is the sequence number of the last event that was passed on.
 	lastSeq      uint64
 	resumes      int // since the last event
-	lastEventAt  time.Time
 	outputTokens uint64
 	buf          []byte
 	deadline     time.Time
@@ -35,7 +34,7 @@
 // with the first event, so that a failure before it can still be retried or
 // returned as an error response.
 func (s *Server) relayEvents(ctx context.Context, a *attempt, events *engine.Stream) (attemptOutcome, error) {
-	st := &stream{a: a, events: events, control: http.NewResponseController(a.request.x.w), lastEventAt: s.now()}
+	st := &stream{a: a, events: events, control: http.NewResponseController(a.request.x.w)}
 	defer func() { _ = st.events.Close() }()
 	s.recordAnswer(a, quarantine.AnswerStarted)
 	received := 0
@@ -78,7 +77,7 @@
 		x.writeHeader(http.StatusOK)
 		st.a.call.body = nil // not needed: no other attempt can follow
 	}
-	st.lastSeq, st.lastEventAt = ev.Seq, s.now()
+	st.lastSeq = ev.Seq
 	st.resumes = 0
 	if total, ok := openai.Usage(ev.Data); ok && total > st.a.call.promptTokens {
 		st.outputTokens = total - st.a.call.promptTokens
@@ -118,8 +117,10 @@
 		s.recordOutcome(a.assignment.server, false)
 		return final, s.endStream(st, backendFailed(cause, "the engine crashed while it ran the request", fault.OutcomeUnknown))
 	}
+	brokeAt := s.now()
+	c := attempts.Continuation{Deadline: brokeAt.Add(s.limits.StreamGap), LastEvent: brokeAt}
 	for tries := st.resumes; st.resumes < maxResumes; tries++ {
-		if tries > 0 && !s.awaitResume(ctx, st, tries) {
+		if pause, _ := c.Pause(tries, s.now()); tries > 0 && !sleep(ctx, pause) {
 			break
 		}
 		next, err := a.client.Resume(ctx, a.id, st.lastSeq, s.limits.StreamGap)
@@ -132,7 +133,7 @@
 			return final, nil
 		}
 		cause = err
-		if !a.request.x.started || !mayAccept(err) {
+		if !a.request.x.started || !mayAccept(err) || c.TimeLeft(s.now()) == 0 {
 			st.resumes++
 		}
 	}
@@ -154,13 +155,6 @@
 	return engine.PhaseOf(err) != engine.ResponseStarted || fault.Is(err, fault.KindOverloaded)
 }
 
-// awaitResume waits before the next attempt to resume a stream, and reports false when its caller does not wait that long.
-func (s *Server) awaitResume(ctx context.Context, st *stream, tries int) bool {
-	c := attempts.Continuation{Deadline: st.lastEventAt.Add(s.limits.StreamGap), LastEvent: st.lastEventAt}
-	pause, ok := c.Pause(tries, s.now())
-	return ok && sleep(ctx, pause)
-}
-
 // endStream writes an error event to a stream that has begun. Before the first
 // event it returns err unchanged. It never writes the end marker.
 func (s *Server) endStream(st *stream, err error) error {
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -76,6 +76,22 @@
 	}
 }
 
+// A stream that breaks off long after its last event must still be resumed more than once.
+func TestLateCutStreamIsResumed(t *testing.T) {
+	for name, faults := range map[string]standin.Faults{"no room once": {RefuseResume: 1}, "gap once": {SkipOnResume: 1}} {
+		t.Run(name, func(t *testing.T) {
+			limits := Limits{InteractiveFirstByte: 20 * time.Second, StreamGap: 3 * time.Second}
+			run(t, options{limits: limits, pool: pool.Options{Gap: 3 * time.Second}}, func(f *fleet) {
+				resp, r := f.openStream(f.t.Context(), "/v1/completions", keyRed, "a:1", 50)
+				f.engines["e0"].SetFaults(faults)
+				f.engines["e0"].Silence()
+				_, whole := textOf(t, readRest(t, resp, r))
+				must.True(t, whole)
+			})
+		})
+	}
+}
+
 // When a key is withdrawn, or the host cannot determine whether it is valid, running
 // streams must end within seconds with the right error event. Streams on open
 // routes continue unless the host loses contact with the control leader.
