A begun stream is not ended on an estimate, and asks servers again that were not reached

Three more forms of the same cause, found by a reviewer with tests: a begun stream was ended at once where the cheapest engine was too full, although a dearer one was not, the leader could not be asked for a load elsewhere, or the estimate fell within the time left; and an engine that refused a connection was not tried again.

An estimate comes from a view of some 100 ms ago: it ends a begun stream only when the shortest wait is over twice what is left and no engine may load the adapter. Engines that begin in time go before cheaper ones. Each further search asks the leader once instead of up to four times. Whatever did not run is asked again. The silence watch is ended before the request's record of servers changes, which it may read.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -44,6 +44,9 @@
 	// MaxWait is how long the request may wait before it begins; a longer
 	// expected wait refuses it.
 	MaxWait time.Duration
+	// AnyInTime is true for a request that cannot be refused any more: a server at which
+	// it begins within MaxWait goes before a cheaper one.
+	AnyInTime bool
 }
 
 // Options holds the weights. Zero values select the defaults.
@@ -103,7 +106,11 @@
 		c := &candidates[i]
 		wait := EstimateWait(r, c, opts)
 		cost := wait + selfCost(r, c, opts)
-		if best == nil || cost < bestCost {
+		better := best == nil || cost < bestCost
+		if inTime := wait <= r.MaxWait; r.AnyInTime && best != nil && inTime != (bestWait <= r.MaxWait) {
+			better = inTime
+		}
+		if better {
 			best, bestWait, bestCost = c, wait, cost
 		}
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -68,8 +68,8 @@
 	ar.tries = attempts.New(attempts.Limits{
 		Attempts: maxAttempts, BegunAttempts: maxBegunAttempts, Runs: runs, MinRemaining: minRemaining,
 	})
-	if !ar.mustRelay() {
-		// A request that is relayed counts where it is served.
+	if !ar.mustRelay() && !ar.begun() {
+		// A request that is relayed counts where it is served, and once.
 		budget.RecordFirst()
 		if ar.r.Generation {
 			ar.g.usage.recordArrival(ar.r.Weights, ar.r.PromptTokens)
@@ -226,7 +226,11 @@
 	defer watch.end()
 	resp, err := ar.g.opts.Backend.Send(ctx, ar.r, ar.newAttempt(p, now))
 	if err != nil {
+		watch.end()
 		outcome, err := ar.handleSendError(ctx, p, err)
+		if outcome == notRun {
+			ar.declined[instance] = true
+		}
 		return outcome, last, err
 	}
 	defer resp.Body.Close()
@@ -235,6 +239,7 @@
 	}
 	ar.g.reach.Contact(ar.g.opts.Now())
 	if resp.NotRun {
+		watch.end()
 		return ar.handleDeclined(p, resp), last, ar.notRunError(resp)
 	}
 	ar.tries.MayHaveRun()
--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -34,6 +34,10 @@
 	return ar.lastEventAt
 }
 
+// hopelessFactor is by how much the shortest estimated wait must exceed what is left for a begun response to be ended at once:
+// estimates are made from views that are some 100 ms old.
+const hopelessFactor = 2
+
 // awaitPlace waits before the servers are searched again for a begun response, for which the last search found none. It
 // reports false when the response cannot go on in time.
 func (ar *activeRequest) awaitPlace(ctx context.Context, refusal error) bool {
@@ -44,7 +48,7 @@
 	if !ar.hasUsableServer(ar.g.opts.Fleet.View()) || !ar.pause(ctx) {
 		return false
 	}
-	ar.loadLimit = ar.loads + maxLoads
+	ar.loadLimit = ar.loads + 1
 	return true
 }
 
--- a/internal/gateway/begun_test.go
+++ b/internal/gateway/begun_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/h1"
 	"github.com/jasminesaddle/jasminesaddle/internal/intake"
 	"github.com/jasminesaddle/jasminesaddle/internal/origin"
 	"github.com/jasminesaddle/jasminesaddle/internal/residency"
@@ -109,6 +110,46 @@
 				return respond(n, a)
 			}
 		},
+		"engines refuse connections": func(b *brokenStream) {
+			respond := b.respond
+			b.respond = func(n int, a Attempt) reply {
+				if n > 0 && time.Since(b.brokeAt) < obstacleTime {
+					return reply{err: h1.NewError(false, false, errReset)}
+				}
+				return respond(n, a)
+			}
+		},
+		"far too full, and no leader for a load elsewhere": func(b *brokenStream) {
+			b.loadLater(errUnavailable())
+			respond := b.respond
+			b.respond = func(n int, a Attempt) reply {
+				rep := respond(n, a)
+				if n == 0 {
+					for _, s := range b.view.ByService[llm] {
+						if s.Instance != a.Instance {
+							s.Residents[adapter], s.OthersInFlight = exchange.Resident{Version: 1, ReadyAt: time.Now()}, 400
+							break
+						}
+					}
+				}
+				return rep
+			}
+		},
+		"cheapest engine is too full": func(b *brokenStream) {
+			respond := b.respond
+			b.respond = func(n int, a Attempt) reply {
+				waits := 0
+				b.otherEngines(func(s *exchange.Server) {
+					if waits++; waits == 1 {
+						s.OthersInFlight = 20 // 2.1 s
+						return
+					}
+					s.OthersInFlight = 5                            // 0.25 s
+					b.g.usage.server(s.Instance).failureRate = 0.99 // costs 2 s
+				})
+				return respond(n, a)
+			}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			start(t, func(h *harness) {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -97,7 +97,6 @@
 		now := ar.g.opts.Now()
 		v := ar.g.opts.Fleet.View()
 		p, d, eligible := ar.chooseServer(v, now, ar.maxWait(now))
-		ar.noneInTime = d.Best != "" && d.Instance == ""
 		if d.Instance != "" {
 			if !ar.g.usage.takeTurn(d.Instance, ar.hosts(v), now) {
 				continue // another request took the turn
@@ -110,7 +109,9 @@
 		if ar.askAgain() {
 			continue
 		}
+		ar.noneInTime = false
 		if !ar.r.Generation || ar.r.Weights.Adapter == "" || !ar.shouldLoad(v, d, eligible, now) {
+			ar.noneInTime = d.Best != "" && d.Wait > hopelessFactor*ar.maxWait(now)
 			return placement{}, ar.refusalError(v, d, eligible)
 		}
 		if err := ar.acquire(ctx, v, eligible); err != nil {
@@ -140,6 +141,7 @@
 	candidates := ar.candidates(v, servers, now)
 	request := balance.Request{
 		Generation: ar.r.Generation, PromptTokens: ar.r.PromptTokens, ServiceTime: generationServiceTime, MaxWait: maxWait,
+		AnyInTime: ar.begun(),
 	}
 	if !ar.r.Generation {
 		request.ServiceTime = ar.g.usage.meanServiceTime(instances(servers))
@@ -309,7 +311,7 @@
 	}
 	minWait := time.Duration(math.MaxInt64)
 	for _, s := range v.ByService[ar.service.Name] {
-		if s.Draining || slices.Contains(eligible, s.Instance) || !ar.mayGoOnAt(s) {
+		if slices.Contains(eligible, s.Instance) || !ar.isUsable(s) {
 			continue
 		}
 		c := balance.Candidate{PendingTokens: s.OthersPendingTokens, InFlight: s.OthersInFlight, Slots: s.Slots}
@@ -332,7 +334,7 @@
 	ar.loads++
 	var avoid, missing []string
 	for _, s := range v.ByService[ar.service.Name] {
-		if ar.excluded[s.Instance] || slices.Contains(eligible, s.Instance) || !ar.mayGoOnAt(s) {
+		if slices.Contains(eligible, s.Instance) || !ar.isUsable(s) {
 			avoid = append(avoid, s.Instance)
 		}
 		if ar.missing[s.Instance] {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -59,8 +59,8 @@
 	// excluded holds the instances that the request was already sent to,
 	// missing those that lack the adapter.
 	excluded, missing map[string]bool
-	// declined holds those of the excluded instances that declined the request without running it, searches counts
-	// the pauses of a begun response, and noneInTime is true when all servers with what it needs are too busy.
+	// declined holds those of the excluded instances, and the helpers, that did not run the request, searches counts
+	// the pauses of a begun response, and noneInTime is true when all servers with what it needs are far too busy.
 	declined   map[string]bool
 	searches   int
 	noneInTime bool
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -74,6 +74,7 @@
 	if ar.started.Load() {
 		ar.g.metrics.resumed.Add(1)
 	}
+	ar.searches = 0
 }
 
 // observePause records the time since the event before.
