--- a/internal/gateway/begun_test.go
+++ b/internal/gateway/begun_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/h1"
@@ -228,6 +229,43 @@
 	}
 }
 
+// Guards against a relayed stream that is ended because one helper failed, or because its service leaves the catalog.
+func TestBegunStreamGoesOnAtAnotherHelper(t *testing.T) {
+	for name, second := range map[string]func(h *harness) (*Response, error){
+		"helper may have run it": func(*harness) (*Response, error) {
+			return refusal(fault.KindBackendFailed, fault.OutcomeUnknown), nil
+		},
+		"helper lost": func(*harness) (*Response, error) { return nil, h1.NewError(true, false, errReset) },
+		"service left the catalog": func(h *harness) (*Response, error) {
+			v, cat := *h.view, h.view.Catalog
+			var err error
+			v.Catalog, err = catalog.New(catalog.Catalog{Revision: 8, Services: cat.Services[:1], Routes: cat.Routes[:2], Teams: cat.Teams})
+			must.NoError(h.t, err)
+			h.view = &v
+			return relayedStream("v1", nil, event("3")), nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start(t, func(h *harness) {
+				h.view.Catalog.Routes[2].MaxAttempts = 4
+				h.cutOff(func(n int) (*Response, error) {
+					switch n {
+					case 0:
+						return relayedStream("v1", errReset, event("1"), event("2")), nil
+					case 1:
+						return second(h)
+					}
+					return relayedStream("v1", nil, event("3")), nil
+				})
+				c, err := h.ask("stream", func(r *Request) { r.Timeout = 3 * time.Second })
+				must.NoError(t, err)
+				must.False(t, c.aborted)
+				must.Eq(t, event("1")+event("2")+event("3"), c.String())
+			})
+		})
+	}
+}
+
 // Guards against a stream that is held although it cannot go on in time, and one that floods servers that decline it.
 func TestBegunStreamEndsWhenItCannotGoOn(t *testing.T) {
 	for name, tc := range map[string]struct {
--- a/internal/gateway/booking.go
+++ b/internal/gateway/booking.go
@@ -54,7 +54,7 @@
 		return turnNow, nil
 	}
 	ar.g.metrics.bookings.Add("too_late", 1)
-	if askedAll || ar.started.Load() {
+	if askedAll || ar.begun() {
 		// The ledger spaces prompts and does not know the engine's room: what has no turn in time is sent, as it
 		// would be without ledgers. Whether the engine is overloaded is decided by its load.
 		return turnNow, nil
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -147,7 +147,7 @@
 // attemptByRelay has another host serve the request, and relays its response.
 func (ar *activeRequest) attemptByRelay(ctx context.Context, last *errorResponse) (step, bool) {
 	ar.awaitAfterDecline(ctx)
-	helper, ok := ar.chooseHelper(ctx)
+	helper, v, ok := ar.chooseHelper(ctx)
 	if !ok {
 		return step{failure: fault.New(fault.KindNoBackend, "this host reaches no backend server, and no other host serves the request for it",
 			"send the request to another host").WithRun(fault.NotRun).After(helperRetryAfter)}, false
@@ -174,7 +174,7 @@
 		ar.tries.MayHaveRun()
 		st.build = resp.Origin.Build
 		if st.build != "" {
-			if err := ar.setService(ar.g.opts.Fleet.View(), resp.Origin.Service); err != nil {
+			if err := ar.setService(v, resp.Origin.Service); err != nil {
 				return step{failure: err}, false
 			}
 			ar.unbound = false
@@ -188,16 +188,17 @@
 	return st, true
 }
 
-// chooseHelper returns the helper of the next attempt. A response that has begun waits for one that takes it.
-func (ar *activeRequest) chooseHelper(ctx context.Context) (exchange.Helper, bool) {
+// chooseHelper returns the helper of the next attempt, and the view that lists it. A response that has begun waits for one
+// that takes it.
+func (ar *activeRequest) chooseHelper(ctx context.Context) (exchange.Helper, *exchange.View, bool) {
 	for {
-		helpers := ar.g.opts.Fleet.View().Helpers
-		helper, ok := ar.g.relays.choose(helpers, ar.g.opts.FailureDomain, ar.helpers, ar.g.opts.Now())
+		v := ar.g.opts.Fleet.View()
+		helper, ok := ar.g.relays.choose(v.Helpers, ar.g.opts.FailureDomain, ar.helpers, ar.g.opts.Now())
 		switch {
 		case ok && (ar.begun() || len(ar.helpers) < maxHelpers):
-			return helper, true
-		case !ar.begun() || len(helpers) == 0 || !ar.pause(ctx):
-			return exchange.Helper{}, false
+			return helper, v, true
+		case !ar.begun() || !ar.pause(ctx):
+			return exchange.Helper{}, v, false
 		}
 		clear(ar.helpers)
 	}
@@ -246,16 +247,23 @@
 	switch {
 	case refusal.Run != fault.NotRun:
 		ar.tries.MayHaveRun()
+		if ar.begun() {
+			return incomplete, refusal
+		}
 		return final, refusal
 	case refusal.Kind == fault.KindUnknownRoute, refusal.Kind == fault.KindUnauthorized:
 		refusal = fault.Wrap(refusal, fault.KindStaleView, "the host that serves the request for this one has another catalog",
 			"send the request again").WithRun(fault.NotRun).After(helperRetryAfter)
 		ar.retryPrepaid.Store(true)
 		return notRun, refusal
-	case refusal.Kind == fault.KindUnavailable, ar.begun() && refusal.Kind != fault.KindQuarantined:
+	case refusal.Kind == fault.KindUnavailable:
 		ar.declined[helper.Host] = true
 		ar.retryPrepaid.Store(true)
 		return notRun, refusal
+	case ar.begun() && refusal.Kind != fault.KindQuarantined:
+		// The helper may have sent the request to servers that declined it.
+		ar.declined[helper.Host] = true
+		return notRun, refusal
 	}
 	return final, refusal
 }
