The end of a server that had said that it leaves makes no request a suspect

Callers of a stream that had one event when its engine, listed as draining, was gone saw it end: the host held the request for the cause of a crash, for which its next attempt is left out. An announced end is no crash.

--- a/internal/gateway/begun_test.go
+++ b/internal/gateway/begun_test.go
@@ -229,6 +229,26 @@
 	}
 }
 
+// Guards against a stream that is ended as the suspect of a crash when its engine, which had said that it leaves, is gone.
+func TestBegunStreamIsNoSuspectAtLeavingEngine(t *testing.T) {
+	for name, tc := range map[string]struct{ draining, aborted bool }{"crash": {false, true}, "leaving": {true, false}} {
+		t.Run(name, func(t *testing.T) {
+			start(t, func(h *harness) {
+				h.respond = func(n int, a Attempt) reply {
+					if n == 0 {
+						h.view.Servers[a.Instance].Draining, h.crashed[a.Address] = tc.draining, true
+						return reply{status: 200, body: &body{pieces: []string{event("1")}, end: errReset}}
+					}
+					return reply{status: 200, body: &body{pieces: []string{event("2")}}}
+				}
+				c, err := h.ask("stream", func(r *Request) { r.Parts = []PromptPart{{ID: "p", Tokens: 20}, {ID: "own", Tokens: 30}} })
+				must.NoError(t, err)
+				must.Eq(t, tc.aborted, c.aborted)
+			})
+		})
+	}
+}
+
 // Guards against a relayed stream that is ended because one helper failed, or because its service leaves the catalog.
 func TestBegunStreamGoesOnAtAnotherHelper(t *testing.T) {
 	for name, second := range map[string]func(h *harness) (*Response, error){
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -42,7 +42,7 @@
 			Hex("fingerprint", mark.GetFingerprint()).Stringer("answer", answer).Strs("prompt_parts", ar.sharedPartIDs()).Bool("evidence", evidence).
 			Msg("backend server crashed with the request in flight")
 	})
-	if answer != quarantine.AnswerStarted || ar.g.answered.All(ar.parts) {
+	if answer != quarantine.AnswerStarted || ar.g.answered.All(ar.parts) || g.leaves(p.server) {
 		return
 	}
 	select {
@@ -51,6 +51,12 @@
 	}
 }
 
+// leaves reports whether the server has said that it leaves, or is listed as draining: its end is no crash.
+func (g *Gateway) leaves(s *exchange.Server) bool {
+	listed := g.opts.Fleet.View().Servers[s.Instance]
+	return listed != nil && listed.Draining || g.usage.leaves(s, g.opts.Now())
+}
+
 // recordProgress records that the engine survived the start of the response.
 func (ar *activeRequest) recordProgress(now time.Time) {
 	if ar.answer == quarantine.AnswerProgressed {
