--- a/internal/gateway/cutoff_test.go
+++ b/internal/gateway/cutoff_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
@@ -48,7 +49,7 @@
 	<-w.begun
 	if !w.started {
 		if e, ok := fault.As(w.err); ok && to.ctx.Err() == nil {
-			return &Response{Refusal: e}, nil
+			return &Response{Refusal: e, NotTaken: errors.Is(w.err, ErrNotTaken)}, nil
 		}
 		return nil, h1.NewError(true, false, errReset)
 	}
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -80,6 +80,12 @@
 	return len(ar.route.Split) == 1 && v.Builds.IsFirst(o)
 }
 
+// mayBeRecorded reports whether the leader may have a record of the stream from an earlier attempt, at this host
+// or another one.
+func (ar *activeRequest) mayBeRecorded() bool {
+	return ar.recordSent || ar.r.Handover != nil && ar.r.Handover.Recorded
+}
+
 // recordOrigin records which build the attempt may begin the stream at. An attempt whose origin is
 // neither recorded nor certain must not be sent.
 func (ar *activeRequest) recordOrigin(ctx context.Context, p placement, now time.Time) error {
@@ -92,7 +98,7 @@
 		return nil
 	}
 	// A record whose confirmation was lost may be in force, so that another one has to replace it.
-	certain := ar.isCertain(v, o) && !ar.recordSent
+	certain := ar.isCertain(v, o) && !ar.mayBeRecorded()
 	if ar.record.Sequence == 0 {
 		lifetime := origin.Lifetime
 		if ar.r.Timeout > 0 {
--- a/internal/gateway/outofstep_test.go
+++ b/internal/gateway/outofstep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -149,3 +150,41 @@
 		})
 	}
 }
+
+// Guards against a relayed stream that a second helper begins at another build than the record that a lost
+// helper left.
+func TestRecordFollowsTheSecondHelper(t *testing.T) {
+	for seed := range uint64(3) {
+		var c simCount
+		playFleet(t, seed, 3, func(s *fleetSim) {
+			s.readingTime = 300 * time.Millisecond
+			s.startEngines("v2", 6)
+			time.Sleep(1500 * time.Millisecond)
+			s.hosts[0].cutOff.Store(true)
+			for range 8 {
+				s.callAt(s.hosts[0])
+			}
+			s.locked(func() { s.count = simCount{} })
+			kill := func(i int) {
+				s.locked(func() {
+					s.hosts[i].stop()
+					s.hosts[i] = nil
+				})
+			}
+			var calls sync.WaitGroup
+			for range 80 {
+				calls.Go(func() { s.callAt(s.hosts[0]) })
+			}
+			time.Sleep(150 * time.Millisecond)
+			kill(1)
+			time.Sleep(600 * time.Millisecond)
+			kill(0)
+			calls.Wait()
+			c = s.count
+		})
+		t.Logf("seed %d: %d of %d new streams began, %d of %d take-ups went on, %d streams joined", seed, c.begun, c.asked, c.goneOn, c.takenUp, c.joined)
+		must.Zero(t, c.joined, must.Sprint("streams hold events of two builds"))
+		must.GreaterEq(t, 20, c.takenUp, must.Sprint("the scenario breaks no streams"))
+		must.GreaterEq(t, c.takenUp/4, c.goneOn, must.Sprint("take-ups are refused"))
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -41,6 +41,8 @@
 	Origin origin.Origin
 	// MaxRuns limits the backend servers that may run the request.
 	MaxRuns int
+	// Recorded is true when the leader may have a record of the stream from an earlier attempt.
+	Recorded bool
 }
 
 // Relay has other entry hosts serve requests. Errors are of type *h1.Error. A response with a Refusal
@@ -118,10 +120,13 @@
 	return best, found
 }
 
+// ErrNotTaken is the cause of errors of a host that did nothing with a relayed request.
+var ErrNotTaken = errors.New("the relayed request was not taken")
+
 // ServeRelayed serves a request of a host that reaches no backend server. It never relays it.
 func (g *Gateway) ServeRelayed(ctx context.Context, r *Request, w Responder) error {
 	refuse := func(message string) error {
-		return fault.New(fault.KindUnavailable, message, "send the request to another host").WithRun(fault.NotRun).After(helperRetryAfter)
+		return fault.Wrap(ErrNotTaken, fault.KindUnavailable, message, "send the request to another host").WithRun(fault.NotRun).After(helperRetryAfter)
 	}
 	if cut, _ := g.reach.CutOff(); cut {
 		return refuse("this host reaches no backend server")
@@ -159,6 +164,7 @@
 	now := ar.g.opts.Now()
 	st := step{server: helper.Host, errResp: last}
 	resp, err := ar.g.opts.Relay.Send(ctx, helper, ar.relayedRequest(), ar.handover(now))
+	ar.recordSent = ar.recordSent || mayHaveRecorded(resp, err)
 	switch {
 	case err != nil:
 		st.outcome, st.failure = ar.handleRelayError(ctx, err)
@@ -186,6 +192,15 @@
 	return st, true
 }
 
+// mayHaveRecorded reports whether a helper may have recorded the stream, also if it then refused the request.
+func mayHaveRecorded(resp *Response, err error) bool {
+	var he *h1.Error
+	if err != nil {
+		return !errors.As(err, &he) || he.Sent
+	}
+	return !resp.NotTaken
+}
+
 // relayedRequest returns the request as the helper gets it.
 func (ar *activeRequest) relayedRequest() *Request {
 	r := *ar.r
@@ -198,7 +213,7 @@
 }
 
 func (ar *activeRequest) handover(now time.Time) Handover {
-	h := Handover{Remaining: ar.deadline.Sub(now) - hopMargin, MaxRuns: ar.tries.RunsLeft()}
+	h := Handover{Remaining: ar.deadline.Sub(now) - hopMargin, MaxRuns: ar.tries.RunsLeft(), Recorded: ar.recordSent}
 	if ar.build.Load() != nil {
 		h.Origin = ar.origin()
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -130,6 +130,8 @@
 	Limit float64
 	// Refusal is the error of another host that served the request for this one.
 	Refusal *fault.Error
+	// NotTaken is true when that host did nothing with the request.
+	NotTaken bool
 	// Origin is the service and the build of the backend server, set by such a host.
 	Origin origin.Origin
 	// Tolerated is the number of requests that a brittle server can turn away in a second; 0 when it
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -70,7 +70,7 @@
 	case *apiv1.RelayResponse_End:
 		_ = b.Close()
 		if refusal := decodeEnd(part.End); refusal != nil {
-			return &gateway.Response{Refusal: refusal}, nil
+			return &gateway.Response{Refusal: refusal, NotTaken: part.End.GetNotTaken()}, nil
 		}
 	}
 	_ = b.Close()
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -39,7 +39,8 @@
 // Relay serves one request.
 func (s *Server) Relay(ctx context.Context, m *apiv1.RelayRequest, stream *connect.ServerStream[apiv1.RelayResponse]) error {
 	if s.Stopping.Load() {
-		return stream.Send(encodeEnd(fault.New(fault.KindUnavailable, "this host is stopping", "send the request to another host").WithRun(fault.NotRun)))
+		return stream.Send(encodeEnd(fault.Wrap(gateway.ErrNotTaken, fault.KindUnavailable, "this host is stopping",
+			"send the request to another host").WithRun(fault.NotRun)))
 	}
 	w := &responder{stream: stream}
 	err := s.Gateway.ServeRelayed(ctx, decodeRequest(m, s.Now()), w)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
 	"github.com/jasminesaddle/jasminesaddle/internal/gateway"
@@ -25,7 +27,7 @@
 		RemainingMs: milliseconds(h.Remaining), TimeoutMs: milliseconds(r.Timeout), AfterEvent: r.AfterEvent, Resumes: r.Resumes,
 		Generation: r.Generation, Model: r.Weights.Model, Adapter: r.Weights.Adapter,
 		PromptTokens: uint32(r.PromptTokens), OutputTokens: uint32(r.OutputTokens),
-		Service: h.Origin.Service, Build: h.Origin.Build, MaxRuns: uint32(h.MaxRuns), From: from,
+		Service: h.Origin.Service, Build: h.Origin.Build, MaxRuns: uint32(h.MaxRuns), From: from, Recorded: h.Recorded,
 	}
 	for _, f := range r.Fields {
 		out.Fields = append(out.Fields, &apiv1.RelayField{Name: f.Name, Value: f.Value})
@@ -47,7 +49,7 @@
 		PromptTokens: int(m.GetPromptTokens()), OutputTokens: int(m.GetOutputTokens()), Received: received,
 		Handover: &gateway.Handover{
 			From: m.GetFrom(), Remaining: time.Duration(m.GetRemainingMs()) * time.Millisecond,
-			Origin: origin.Origin{Service: m.GetService(), Build: m.GetBuild()}, MaxRuns: int(m.GetMaxRuns()),
+			Origin: origin.Origin{Service: m.GetService(), Build: m.GetBuild()}, MaxRuns: int(m.GetMaxRuns()), Recorded: m.GetRecorded(),
 		},
 	}
 	for _, f := range m.GetFields() {
@@ -86,7 +88,7 @@
 			e = fault.Wrap(err, fault.KindInternal, "the request failed", "send the request again").WithRun(fault.OutcomeUnknown)
 		}
 		end.ErrorKind, end.Message, end.Remedy, end.Run = string(e.Kind), e.Message, e.Remedy, string(e.Run)
-		end.RetryAfterMs = milliseconds(e.RetryAfter)
+		end.RetryAfterMs, end.NotTaken = milliseconds(e.RetryAfter), errors.Is(err, gateway.ErrNotTaken)
 	}
 	return &apiv1.RelayResponse{Part: &apiv1.RelayResponse_End{End: end}}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -107,7 +107,7 @@
 		ID: "id", Method: "POST", Target: path, Host: "h", APIKey: "k", Timeout: 3 * time.Second, Body: []byte("body"), AfterEvent: "",
 		Fields: []h1.Field{{Name: "X-A", Value: "1"}, {Name: "X-A", Value: "2"}}, Parts: []gateway.PromptPart{{ID: "p", Tokens: 3}},
 	}
-	return f.client.Send(f.t.Context(), exchange.Helper{Address: f.address}, r, gateway.Handover{Remaining: 2 * time.Second, MaxRuns: 1})
+	return f.client.Send(f.t.Context(), exchange.Helper{Address: f.address}, r, gateway.Handover{Remaining: 2 * time.Second, MaxRuns: 1, Recorded: true})
 }
 
 func response(text string, end error) func(context.Context) (*gateway.Response, error) {
@@ -145,6 +145,7 @@
 		must.Eq(t, "body", string(f.got.Body))
 		must.Eq(t, []h1.Field{{Name: "X-A", Value: "1"}, {Name: "X-A", Value: "2"}}, f.got.Fields)
 		must.Eq(t, "red", f.attempt.Team)
+		must.True(t, f.got.Handover.Recorded)
 		must.Between(t, time.Second, f.attempt.Remaining, 2*time.Second)
 		must.NoError(t, resp.Body.Close())
 	}
@@ -177,11 +178,13 @@
 	resp, err = f.relay("/plain/x")
 	must.NoError(t, err)
 	must.Eq(t, fault.NotRun, resp.Refusal.Run)
+	must.False(t, resp.NotTaken)
 	f.stopping.Store(true)
 	resp, err = f.relay("/plain/x")
 	must.NoError(t, err)
 	must.Eq(t, fault.NotRun, resp.Refusal.Run)
 	must.Eq(t, fault.KindUnavailable, resp.Refusal.Kind)
+	must.True(t, resp.NotTaken)
 
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
