A build that comes back is not taken for the first one by a host out of step

What callers saw: an entry host was cut off from the control hosts while a build, gone for ten minutes, was dropped and then rolled back to.

Cause: a host without a leader begins streams at the first build without a record. It took the first build from its old view, and the servers from the platform's list, which it reads by itself then. Meanwhile the leader had dropped that build, and had recorded it again as the second one.

Evidence: TestReturningBuildIsNotTakenForFirst joined 40 of 40 streams in one run on the code before.

Fix: without a record, a stream begins only at a first build of which the leader's last fleet had a server. Such a build was in the list then, and is dropped ten minutes later at the earliest; in a view of that age a host begins no streams. With the fix, 0 of 40 joined in two runs, and all 40 began, at hosts in step.

In gateway.harness, the leader now knows the servers of the test.

--- a/internal/exchange/view.go
+++ b/internal/exchange/view.go
@@ -49,6 +49,9 @@
 	// release does not record them.
 	Builds      origin.Builds
 	BuildsKnown bool
+	// Origins are those of the servers that the leader last sent; servers that this host only found in the
+	// platform's list add none.
+	Origins map[origin.Origin]bool
 	// WantsStreams is true when the leader needs the records of all streams.
 	WantsStreams bool
 	// Helpers are hosts that serve requests of a host that reaches no backend server, as of HelpersAt.
@@ -157,6 +160,12 @@
 		servers[instance] = &next
 	}
 	v.setServers(servers)
+	if resp.GetFleetFull() || len(resp.GetServers())+len(resp.GetRemoved()) > 0 {
+		v.Origins = map[origin.Origin]bool{}
+		for _, s := range servers {
+			v.Origins[origin.Origin{Service: s.Service, Build: s.Build}] = true
+		}
+	}
 }
 
 func decodeServer(server *apiv1.FleetServer, now time.Time) *Server {
--- a/internal/gateway/build_test.go
+++ b/internal/gateway/build_test.go
@@ -125,6 +125,10 @@
 // setRecordedBuilds has the leader know the builds of the engines.
 func (h *harness) setRecordedBuilds(list ...string) {
 	h.view.Builds, h.view.BuildsKnown = origin.NewBuilds([]*apiv1.ServiceBuilds{{Service: llm, Builds: list}}), true
+	h.view.Origins = map[origin.Origin]bool{}
+	for _, s := range h.view.ByService[llm] {
+		h.view.Origins[origin.Origin{Service: llm, Build: s.Build}] = true
+	}
 }
 
 func errUnavailable() error {
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -75,9 +75,10 @@
 	return true
 }
 
-// isCertain reports whether the origin of a stream without a record is taken to be this one.
+// isCertain reports whether the origin of a stream without a record is taken to be this one. A first build of which
+// the leader knew no server may have been dropped since, and be back as a later one.
 func (ar *activeRequest) isCertain(v *exchange.View, o origin.Origin) bool {
-	return len(ar.route.Split) == 1 && v.Builds.IsFirst(o)
+	return len(ar.route.Split) == 1 && v.Builds.IsFirst(o) && v.Origins[o]
 }
 
 // mayBeRecorded reports whether the leader may have a record of the stream from an earlier attempt, at this host
--- a/internal/gateway/outofstep_test.go
+++ b/internal/gateway/outofstep_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/origin"
 )
 
 // killFrom kills the entry hosts from the number on, which are back after the time.
@@ -188,3 +190,36 @@
 		must.GreaterEq(t, c.takenUp/4, c.goneOn, must.Sprint("take-ups are refused"))
 	}
 }
+
+// Guards against a host out of step that begins streams without a record at a build which was dropped and is back, and
+// which it still takes for the first one.
+func TestReturningBuildIsNotTakenForFirst(t *testing.T) {
+	var c simCount
+	playFleet(t, 1, 3, func(s *fleetSim) {
+		s.startEngines("v2", 6)
+		time.Sleep(2 * time.Second)
+		s.removeEngines("v1", 6)
+		time.Sleep(origin.Lifetime)
+		must.Eq(t, []string{"v1", "v2"}, s.hosts[0].knownBuilds())
+		s.hosts[0].reaches.Store(&noControl)
+		for len(s.hosts[1].knownBuilds()) > 1 {
+			time.Sleep(100 * time.Millisecond)
+		}
+		s.startEngines("v1", 6)
+		time.Sleep(3 * time.Second)
+		var calls sync.WaitGroup
+		for range 40 {
+			calls.Go(func() { s.callAt(s.hosts[0]) })
+		}
+		time.Sleep(300 * time.Millisecond)
+		s.locked(func() {
+			s.hosts[0].stop()
+			s.hosts[0] = nil
+		})
+		calls.Wait()
+		c = s.count
+	})
+	t.Logf("%d of %d new streams began, %d of %d take-ups went on, %d streams joined", c.begun, c.asked, c.goneOn, c.takenUp, c.joined)
+	must.Zero(t, c.joined, must.Sprint("streams hold events of two builds"))
+	must.Eq(t, c.asked, c.begun, must.Sprint("streams do not begin at other hosts"))
+}
