--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -28,10 +28,13 @@
 
 // lastEvent returns when the caller got its last event.
 func (ar *activeRequest) lastEvent() time.Time {
-	if ar.lastEventAt.IsZero() {
-		return ar.r.Received
+	switch {
+	case !ar.lastEventAt.IsZero():
+		return ar.lastEventAt
+	case ar.r.Handover != nil:
+		return ar.r.Received.Add(-ar.r.Handover.SinceEvent)
 	}
-	return ar.lastEventAt
+	return ar.r.Received
 }
 
 // hopelessFactor is by how much the shortest estimated wait must exceed what is left for a begun response to be ended at once:
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -75,9 +75,16 @@
 	return true
 }
 
-// isCertain reports whether the origin of a stream without a record is taken to be this one.
+// isCertain reports whether the origin of a stream without a record is taken to be this one. A first build of which
+// the leader knew no server may have been dropped since, and be back as a later one.
 func (ar *activeRequest) isCertain(v *exchange.View, o origin.Origin) bool {
-	return len(ar.route.Split) == 1 && v.Builds.IsFirst(o)
+	return len(ar.route.Split) == 1 && v.Builds.IsFirst(o) && v.Origins[o]
+}
+
+// mayBeRecorded reports whether the leader may have a record of the stream from an earlier attempt, at this host
+// or another one.
+func (ar *activeRequest) mayBeRecorded() bool {
+	return ar.recordSent || ar.r.Handover != nil && ar.r.Handover.Recorded
 }
 
 // recordOrigin records which build the attempt may begin the stream at. An attempt whose origin is
@@ -92,7 +99,7 @@
 		return nil
 	}
 	// A record whose confirmation was lost may be in force, so that another one has to replace it.
-	certain := ar.isCertain(v, o) && !ar.recordSent
+	certain := ar.isCertain(v, o) && !ar.mayBeRecorded()
 	if ar.record.Sequence == 0 {
 		lifetime := origin.Lifetime
 		if ar.r.Timeout > 0 {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -43,6 +43,10 @@
 	MaxRuns int
 	// Begun is true when the caller has events of the response.
 	Begun bool
+	// SinceEvent is the time since the caller got its last event of a begun response.
+	SinceEvent time.Duration
+	// Recorded is true when the leader may have a record of the stream from an earlier attempt.
+	Recorded bool
 }
 
 // Relay has other entry hosts serve requests. Errors are of type *h1.Error. A response with a Refusal
@@ -120,10 +124,13 @@
 	return best, found
 }
 
+// ErrNotTaken is the cause of errors of a host that did nothing with a relayed request.
+var ErrNotTaken = errors.New("the relayed request was not taken")
+
 // ServeRelayed serves a request of a host that reaches no backend server. It never relays it.
 func (g *Gateway) ServeRelayed(ctx context.Context, r *Request, w Responder) error {
 	refuse := func(message string) error {
-		return fault.New(fault.KindUnavailable, message, "send the request to another host").WithRun(fault.NotRun).After(helperRetryAfter)
+		return fault.Wrap(ErrNotTaken, fault.KindUnavailable, message, "send the request to another host").WithRun(fault.NotRun).After(helperRetryAfter)
 	}
 	if cut, _ := g.reach.CutOff(); cut {
 		return refuse("this host reaches no backend server")
@@ -161,6 +168,7 @@
 	now := ar.g.opts.Now()
 	st := step{server: helper.Host, errResp: last}
 	resp, err := ar.g.opts.Relay.Send(ctx, helper, ar.relayedRequest(), ar.handover(now))
+	ar.recordSent = ar.recordSent || mayHaveRecorded(resp, err)
 	switch {
 	case err != nil:
 		st.outcome, st.failure = ar.handleRelayError(ctx, err)
@@ -204,6 +212,15 @@
 	}
 }
 
+// mayHaveRecorded reports whether a helper may have recorded the stream, also if it then refused the request.
+func mayHaveRecorded(resp *Response, err error) bool {
+	var he *h1.Error
+	if err != nil {
+		return !errors.As(err, &he) || he.Sent
+	}
+	return !resp.NotTaken
+}
+
 // relayedRequest returns the request as the helper gets it.
 func (ar *activeRequest) relayedRequest() *Request {
 	r := *ar.r
@@ -216,7 +233,12 @@
 }
 
 func (ar *activeRequest) handover(now time.Time) Handover {
-	h := Handover{Remaining: ar.deadline.Sub(now) - hopMargin, MaxRuns: ar.tries.RunsLeft(), Begun: ar.begun()}
+	h := Handover{
+		Remaining: ar.deadline.Sub(now) - hopMargin, MaxRuns: ar.tries.RunsLeft(), Recorded: ar.recordSent, Begun: ar.begun(),
+	}
+	if h.Begun {
+		h.SinceEvent = now.Sub(ar.lastEvent())
+	}
 	if ar.build.Load() != nil {
 		h.Origin = ar.origin()
 	}
