--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -97,6 +97,7 @@
 		ar.attemptLog = append(ar.attemptLog, attemptRecord{st.server, st.build, outcome.String(), ar.g.opts.Now().Sub(began), relayed})
 		ar.g.metrics.attempts.Add(outcome.String(), 1)
 		if outcome == delivered {
+			ar.end = ""
 			return nil
 		}
 		ar.brokenAt = ar.g.opts.Now()
@@ -147,15 +148,18 @@
 	endFinal endReason = "final"
 	// endSuspect: the request may be what crashed its server.
 	endSuspect endReason = "suspect"
-	// endContext: the caller left, or the deadline passed.
-	endContext endReason = "context"
+	// endCallerGone and endDeadline: the caller left, or its time is over.
+	endCallerGone endReason = "caller_gone"
+	endDeadline   endReason = "deadline"
 )
 
 // judge returns why no attempt may follow a failed one, or attempts.Allowed.
 func (ar *activeRequest) judge(ctx context.Context, outcome attemptOutcome, budget *retry.Budget) endReason {
 	switch {
+	case ctx.Err() != nil && !ar.deadlinePassed(ctx):
+		return endCallerGone
 	case ctx.Err() != nil:
-		return endContext
+		return endDeadline
 	case outcome == final:
 		return endFinal
 	case ar.suspect:
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -84,8 +84,8 @@
 	suspect bool
 	// abortErr is why a partial response was aborted.
 	abortErr error
-	// end is why no attempt followed the last one, endErr the refusal of a place, and brokenAt when the last
-	// attempt failed.
+	// end is why no attempt followed the last one, empty for a delivered response; endErr is the refusal of a place,
+	// and brokenAt when the last attempt failed.
 	end      endReason
 	endErr   error
 	brokenAt time.Time
@@ -394,10 +394,10 @@
 			e = e.Bool("relayed", true)
 		}
 	}
-	if !ar.brokenAt.IsZero() {
+	if ar.end != "" && !ar.brokenAt.IsZero() {
 		e = e.Str("end", string(ar.end)).Dur("since_failure", now.Sub(ar.brokenAt)).Dur("time_left", ar.deadline.Sub(now))
 		if ar.endErr != nil {
-			e = e.Str("no_place", ar.endErr.Error())
+			e = e.Str("end_error", ar.endErr.Error())
 		}
 	}
 	if err == nil {
