A resumed stream goes on only with a response of its own media type

Callers saw: after a stream had begun and broken off, the next backend server answered 200 with its mark and the text of an error.

Cause: relayStream took each success for the rest of the stream, whatever its content type, and a body that ends between two events for its end. On a first response this is the server's own answer, on a resumed one it is joined with events of another run.

Fix: a response whose media type differs from that of the response that began the stream is no part of it. It counts as a failure of its server, and the stream goes on at another one or is cut off. The types are compared with each other and not with a fixed one, so that servers that name none still go on.

Errors of other statuses and unmarked successes never reached the caller.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"mime"
+	"net/http"
 	"strings"
 )
 
@@ -18,6 +20,14 @@
 	lastID string
 	// count is the number of complete events.
 	count int
+	// mediaType is that of the response that began the stream.
+	mediaType string
+}
+
+// mediaTypeOf returns the media type of a response, empty when it names none.
+func mediaTypeOf(h http.Header) string {
+	t, _, _ := mime.ParseMediaType(h.Get("Content-Type"))
+	return t
 }
 
 // add appends bytes and returns the complete events. The result is valid until
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -21,6 +21,9 @@
 // events are relayed, so that the stream can be resumed at another server.
 func (ar *activeRequest) relayStream(ctx context.Context, p placement, counted *inFlight, resp *Response, began time.Time) (attemptOutcome, error) {
 	instance := p.server.Instance
+	if ar.started && mediaTypeOf(resp.Header) != ar.events.mediaType {
+		return ar.handleOtherType(p)
+	}
 	ar.events.restart()
 	before := ar.events.count
 	buf := make([]byte, readSize)
@@ -99,7 +102,7 @@
 	if ar.started {
 		return
 	}
-	ar.started, ar.status = true, resp.Status
+	ar.started, ar.status, ar.events.mediaType = true, resp.Status, mediaTypeOf(resp.Header)
 	if w, ok := ar.w.(OriginResponder); ok {
 		w.SetOrigin(ar.origin())
 	}
@@ -123,6 +126,16 @@
 	ar.g.usage.recordSuccess(instance, now)
 }
 
+var errOtherType = errors.New("the response to a resumed stream is no part of the stream")
+
+// handleOtherType handles a success whose body, for example the text of an error, is no part of the stream.
+func (ar *activeRequest) handleOtherType(p placement) (attemptOutcome, error) {
+	if !p.helper {
+		ar.g.usage.recordFailure(p.server.Instance, ar.g.opts.Now())
+	}
+	return incomplete, ar.incompleteError(errOtherType)
+}
+
 // handleCutStream handles a stream that broke off.
 func (ar *activeRequest) handleCutStream(ctx context.Context, p placement, err error, now time.Time) (attemptOutcome, error) {
 	if ctx.Err() != nil && ar.deadlinePassed(ctx) {
