--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -202,3 +202,57 @@
 	r.endReceived()
 	must.True(t, r.receive())
 }
+
+// Guards against a helper's refusal or error that a caller finds in a stream that another helper began, or that ends it as if complete.
+func TestHelperFailsAfterBegunStream(t *testing.T) {
+	typed := func(status int, contentType, text string, end error) *Response {
+		resp := relayedStream("v2", end, text)
+		resp.Status = status
+		resp.Header.Set("Content-Type", contentType)
+		return resp
+	}
+	const stream, text = "text/event-stream", "boom\n\nid: 3\ndata: boom\n\n"
+	for name, tc := range map[string]struct {
+		second func() (*Response, error)
+		// goesOn is true when the route's limit of two runs allows another helper.
+		goesOn bool
+	}{
+		"takes none":           {func() (*Response, error) { return refusal(fault.KindUnavailable, fault.NotRun), nil }, true},
+		"another catalog":      {func() (*Response, error) { return refusal(fault.KindUnknownRoute, fault.NotRun), nil }, true},
+		"fleet is full":        {func() (*Response, error) { return refusal(fault.KindOverloaded, fault.NotRun), nil }, false},
+		"outcome unknown":      {func() (*Response, error) { return refusal(fault.KindBackendFailed, fault.OutcomeUnknown), nil }, false},
+		"not reached":          {func() (*Response, error) { return nil, h1.NewError(false, false, errReset) }, true},
+		"lost before its head": {func() (*Response, error) { return nil, h1.NewError(true, false, errReset) }, false},
+		"lost after its head":  {func() (*Response, error) { return typed(200, stream, "", errReset), nil }, false},
+		"lost in an event":     {func() (*Response, error) { return typed(200, stream, "id: 3\nda", errReset), nil }, false},
+		"server's 500":         {func() (*Response, error) { return typed(500, stream, text, nil), nil }, false},
+		"server's 404":         {func() (*Response, error) { return typed(404, "text/plain", text, nil), nil }, false},
+		"500 cut":              {func() (*Response, error) { return typed(500, "text/plain", text, errReset), nil }, false},
+		"200 text":             {func() (*Response, error) { return typed(200, "text/plain", text, nil), nil }, false},
+		"200 json":             {func() (*Response, error) { return typed(200, "application/json", "{\"error\":\"boom\"}\n\n", nil), nil }, false},
+		"200 text, empty":      {func() (*Response, error) { return typed(200, "text/plain", "", nil), nil }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start(t, func(h *harness) {
+				f := h.cutOff(func(n int) (*Response, error) {
+					switch n {
+					case 0:
+						return typed(200, stream, event("1")+event("2")+"id: 3\nda", errReset), nil
+					case 1:
+						return tc.second()
+					}
+					return typed(200, stream, event("3"), nil), nil
+				})
+				c, err := h.ask("stream", nil)
+				must.NoError(t, err)
+				must.GreaterEq(t, 2, len(f.sent), must.Sprint("the stream was not resumed"))
+				must.Eq(t, tc.goesOn, !c.aborted)
+				want := event("1") + event("2")
+				if tc.goesOn {
+					want += event("3")
+				}
+				must.Eq(t, want, c.String())
+			})
+		})
+	}
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -6,14 +6,17 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
 
+	apiv1 "github.com/jasminesaddle/jasminesaddle/internal/api/v1"
 	"github.com/jasminesaddle/jasminesaddle/internal/api/v1/apiv1connect"
 	"github.com/jasminesaddle/jasminesaddle/internal/catalog"
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
@@ -35,6 +38,7 @@
 	stopping atomic.Bool
 	// respond is the backend server's response; got is the request and the attempt that it received.
 	respond func(ctx context.Context) (*gateway.Response, error)
+	mu      sync.Mutex
 	got     *gateway.Request
 	attempt gateway.Attempt
 	address string
@@ -61,8 +65,11 @@
 }
 
 func (f *helperHost) Send(ctx context.Context, r *gateway.Request, a gateway.Attempt) (*gateway.Response, error) {
+	f.mu.Lock()
 	f.got, f.attempt = r, a
-	return f.respond(ctx)
+	respond := f.respond
+	f.mu.Unlock()
+	return respond(ctx)
 }
 
 func (f *helperHost) Reachable(context.Context, string) bool { return true }
@@ -214,6 +221,165 @@
 	}
 }
 
+// cutProxy forwards connections to an address, and closes each after a number of bytes from there.
+type cutProxy struct {
+	net.Listener
+	to    string
+	after atomic.Int64
+	reset atomic.Bool
+	// sent is the number of bytes forwarded to the last client.
+	sent atomic.Int64
+}
+
+func startCutProxy(t *testing.T, to string) *cutProxy {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	p := &cutProxy{Listener: l, to: strings.TrimPrefix(to, "http://")}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.forward(c.(*net.TCPConn))
+		}
+	}()
+	return p
+}
+
+func (p *cutProxy) forward(c *net.TCPConn) {
+	defer c.Close()
+	server, err := net.Dial("tcp", p.to)
+	if err != nil {
+		return
+	}
+	defer server.Close()
+	go func() { _, _ = io.Copy(server, c) }()
+	p.sent.Store(0)
+	_, _ = io.Copy(io.MultiWriter(c, countWriter{&p.sent}), io.LimitReader(server, p.after.Load()))
+	if p.reset.Load() {
+		_ = c.SetLinger(0)
+	}
+}
+
+type countWriter struct{ n *atomic.Int64 }
+
+func (w countWriter) Write(p []byte) (int, error) {
+	w.n.Add(int64(len(p)))
+	return len(p), nil
+}
+
+// Guards against a relayed response that looks complete although its helper was lost, in its head above all.
+func TestHelperLostAtAnyByte(t *testing.T) {
+	f := startHelper(t)
+	proxy := startCutProxy(t, f.address)
+	for path, text := range map[string]string{"/plain/x": "the whole body", "/stream/x": "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"} {
+		f.mu.Lock()
+		f.respond = response(text, nil)
+		f.mu.Unlock()
+		proxy.reset.Store(false)
+		proxy.after.Store(1 << 30)
+		whole, err := relayTo(t, proxy.Addr().String(), path)
+		must.NoError(t, err)
+		must.Eq(t, text, whole)
+		bytes := proxy.sent.Load()
+		must.Greater(t, int64(len(text)), bytes)
+		complete := 0
+		for cut := range bytes {
+			proxy.after.Store(cut)
+			proxy.reset.Store(cut%2 == 0)
+			got, err := relayTo(t, proxy.Addr().String(), path)
+			must.StrHasPrefix(t, got, text, must.Sprintf("cut at %d of %d", cut, bytes))
+			if err == nil {
+				complete++
+				must.Eq(t, text, got, must.Sprintf("cut at %d of %d", cut, bytes))
+			}
+		}
+		must.Less(t, bytes/2, int64(complete), must.Sprint("most cuts change nothing"))
+	}
+}
+
+// scriptedHelper sends messages and ends its response with an error or none.
+type scriptedHelper struct {
+	messages []*apiv1.RelayResponse
+	err      error
+}
+
+func (h scriptedHelper) Relay(_ context.Context, _ *apiv1.RelayRequest, stream *connect.ServerStream[apiv1.RelayResponse]) error {
+	for _, m := range h.messages {
+		if err := stream.Send(m); err != nil {
+			return err
+		}
+	}
+	return h.err
+}
+
+// Guards against a relayed response that looks complete although the helper has not said so.
+func TestOnlyDeclaredEndCompletesResponse(t *testing.T) {
+	begin := &apiv1.RelayResponse{Part: &apiv1.RelayResponse_Start{Start: &apiv1.RelayStart{Status: 200, Length: -1}}}
+	data := &apiv1.RelayResponse{Part: &apiv1.RelayResponse_Data{Data: []byte("id: 1\ndata: a\n\n")}}
+	end, failed, empty := encodeEnd(nil), encodeEnd(errors.New("boom")), &apiv1.RelayResponse{}
+	p, err := peer.New(peer.Options{Cluster: "c", Unauthenticated: true})
+	must.NoError(t, err)
+	for name, tc := range map[string]struct {
+		messages []*apiv1.RelayResponse
+		err      error
+		complete bool
+	}{
+		"complete":           {[]*apiv1.RelayResponse{begin, data, end}, nil, true},
+		"nothing":            {nil, nil, false},
+		"error only":         {nil, errors.New("boom"), false},
+		"empty message":      {[]*apiv1.RelayResponse{empty, end}, nil, false},
+		"end without head":   {[]*apiv1.RelayResponse{end}, nil, false},
+		"data without head":  {[]*apiv1.RelayResponse{data, end}, nil, false},
+		"head only":          {[]*apiv1.RelayResponse{begin}, nil, false},
+		"no end":             {[]*apiv1.RelayResponse{begin, data}, nil, false},
+		"error for an end":   {[]*apiv1.RelayResponse{begin, data}, errors.New("boom"), false},
+		"failed end":         {[]*apiv1.RelayResponse{begin, data, failed}, nil, false},
+		"second head":        {[]*apiv1.RelayResponse{begin, data, begin, end}, nil, false},
+		"message in between": {[]*apiv1.RelayResponse{begin, data, empty, end}, nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			mux := http.NewServeMux()
+			mux.Handle(apiv1connect.NewRelayServiceHandler(scriptedHelper{tc.messages, tc.err}, p.HandlerOptions()...))
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			server := p.Server("", mux)
+			go func() { _ = p.Serve(server, l) }()
+			defer server.Close()
+			got, err := relayTo(t, l.Addr().String(), "/stream/x")
+			must.Eq(t, tc.complete, err == nil, must.Sprint(got, err))
+			must.StrNotContains(t, got, "boom")
+		})
+	}
+}
+
+// relayTo relays a request to the address over a new connection, and returns the body.
+func relayTo(t *testing.T, address, path string) (string, error) {
+	t.Helper()
+	p, err := peer.New(peer.Options{Cluster: "c", Unauthenticated: true})
+	must.NoError(t, err)
+	connections := p.StreamingClient()
+	if c, ok := connections.(*http.Client); ok {
+		defer c.CloseIdleConnections()
+	}
+	client := NewClient("h9", func(address string) apiv1connect.RelayServiceClient {
+		return apiv1connect.NewRelayServiceClient(connections, address, p.ClientOptions()...)
+	})
+	r := &gateway.Request{ID: "id", Method: "POST", Target: path, Host: "h", APIKey: "k", Timeout: 3 * time.Second, Body: []byte("body")}
+	resp, err := client.Send(t.Context(), exchange.Helper{Address: "http://" + address}, r, gateway.Handover{Remaining: 2 * time.Second, MaxRuns: 1})
+	if err != nil {
+		return "", err
+	}
+	must.Nil(t, resp.Refusal)
+	must.Eq(t, 200, resp.Status)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return string(data), err
+}
+
 // waitReader blocks until its context ends.
 type waitReader struct {
 	ctx   context.Context
