--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -57,6 +57,8 @@
 	applyMu        sync.Mutex
 	reportsStopped atomic.Bool // no periodic reports
 	lender         *rate.Lender
+	// raw is what backend servers answer instead of the stand-ins; nil for nothing.
+	raw *rawAnswers
 }
 
 // options change a fleet before it starts.
@@ -70,6 +72,7 @@
 	slots map[string][]string
 	// rate is the rate of team red; 0 means 100,000 tokens per second.
 	rate uint64
+	raw  *rawAnswers
 }
 
 func hashOf(key string) string {
@@ -162,7 +165,7 @@
 		calls:   &fakeCalls{records: map[string]*apiv1.BeginCall{}, done: map[string]*apiv1.FinishCall{}},
 		view:    &fakeView{cfg: config.FromManifest(manifest(o.engines, 16, o.rate), 1), changed: make(chan struct{})},
 		account: rate.NewAccount("h", 1), refuse: map[string]bool{},
-		lender: rate.NewLender(1, time.Now()),
+		lender: rate.NewLender(1, time.Now()), raw: o.raw,
 	}
 	f.lender.SetTeams(f.view.cfg.Teams(), time.Now())
 	listeners := map[string]*standin.PipeListener{}
@@ -179,7 +182,11 @@
 			return nil, errors.New("connection refused")
 		}
 		time.Sleep(time.Millisecond)
-		return listeners[addr].DialContext(ctx, network, addr)
+		c, err := listeners[addr].DialContext(ctx, network, addr)
+		if err != nil || f.raw == nil {
+			return c, err
+		}
+		return &rawConn{Conn: c, answers: f.raw}, nil
 	}
 	f.pools = pool.NewSet(o.pool)
 	for _, b := range f.view.cfg.Pool("llm") {
