--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -37,8 +37,8 @@
 	return ar.r.Received
 }
 
-// hopelessFactor is by how much the shortest estimated wait must exceed what is left for a begun response to be ended at once:
-// estimates are made from views that are some 100 ms old.
+// hopelessFactor is by how much the estimated wait must exceed what is left for a begun response to be ended at once: estimates
+// are made from views that are some 100 ms old.
 const hopelessFactor = 2
 
 // awaitPlace waits before the servers are searched again for a begun response, for which the last search found none. It
