--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -26,6 +26,7 @@
 	"model-header":  caseModelHeader,
 	"tenant-takeup": caseTenantTakeUp,
 	"same-id-crash": caseSameIDCrash,
+	"large-bodies":  caseBodies,
 	"split-takeup":  caseSplitTakeUp,
 	"leader-takeup": caseLeaderTakeUp,
 }
