--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -27,6 +27,7 @@
 	"tenant-takeup": caseTenantTakeUp,
 	"same-id-crash": caseSameIDCrash,
 	"large-bodies":  caseBodies,
+	"same-lookup":   caseLookup,
 	"split-takeup":  caseSplitTakeUp,
 	"leader-takeup": caseLeaderTakeUp,
 }
