--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -28,6 +28,7 @@
 	"same-id-crash": caseSameIDCrash,
 	"large-bodies":  caseBodies,
 	"same-lookup":   caseLookup,
+	"odd-entry":     caseOddEntry,
 	"split-takeup":  caseSplitTakeUp,
 	"leader-takeup": caseLeaderTakeUp,
 }
--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -39,6 +40,16 @@
 
 	mu      sync.Mutex
 	entries []entry
+	// odd is what another writer left, before the entry with the index oddAt; empty for nothing.
+	odd   string
+	oddAt int
+}
+
+// leave leaves bytes of another writer before the entry with the index.
+func (l *list) leave(odd string, at int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.odd, l.oddAt = odd, at
 }
 
 func newList(rec *record) *list { return &list{rec: rec} }
@@ -67,8 +78,20 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var parts []string
+	for i, e := range l.entries {
+		if l.odd != "" && i == l.oddAt {
+			parts = append(parts, l.odd)
+		}
+		text, err := json.Marshal(e)
+		if err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		parts = append(parts, string(text))
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"instances": l.entries, "next": nil})
+	_, _ = io.WriteString(w, `{"instances":[`+strings.Join(parts, ",")+`],"next":null}`)
 }
 
 // operator sends desired states.
