--- a/review/harness/lookup.go
+++ b/review/harness/lookup.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -90,6 +92,18 @@
 	if err := sleep(ctx, 2*contact); err != nil {
 		return err
 	}
+	if os.Getenv("RESTART") != "" {
+		f.rec.add("all processes of the system are killed")
+		for _, m := range append(append([]*machine{}, f.cores...), f.front...) {
+			m.signal(syscall.SIGKILL)
+		}
+		if err := sleep(ctx, restartDelay+2*contact); err != nil {
+			return err
+		}
+		if err := f.awaitReady(ctx, f.front...); err != nil {
+			return err
+		}
+	}
 	f.rec.add("all servers are back, and for %v nothing was disturbed: steady state", 2*contact+contact)
 	first, later := &lookup{counts: map[int]int{}}, &lookup{counts: map[int]int{}}
 	f.repeat(ctx, judgedEvery, judged, func(n int) {
