--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -60,6 +60,17 @@
 	l.entries = append(l.entries, e)
 }
 
+// setModels sets what a server holds.
+func (l *list) setModels(id string, models []modelState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range l.entries {
+		if l.entries[i].ID == id {
+			l.entries[i].Models = models
+		}
+	}
+}
+
 // restarted replaces the entry of a server that has started again.
 func (l *list) restarted(old, id string, born int64) {
 	l.mu.Lock()
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -30,6 +32,8 @@
 	crashes func(path string) bool
 	// newIDs has each start get a new id.
 	newIDs bool
+	// engine is set where orders are carried out.
+	engine *engine
 	fleet  *fleet
 
 	mu      sync.Mutex
@@ -61,9 +65,9 @@
 	})
 	e := entry{
 		ID: s.id, Service: s.service, Address: s.address, Zone: zones[host%len(zones)], Version: s.version, Slots: s.slots,
-		State: "ready", Born: s.born, Models: s.models,
+		State: "ready", Born: s.born, Models: s.modelStates(),
 	}
-	if len(s.models) > 0 {
+	if s.engine != nil || len(s.models) > 0 {
 		e.Stage = "both"
 	}
 	f.list.add(e)
@@ -104,6 +108,10 @@
 		s.id = fmt.Sprintf("%s-%d", s.id, start+1)
 	}
 	s.seq, s.running, s.born = 0, 0, time.Now().UnixMilli()
+	if s.engine != nil {
+		s.engine.held, s.engine.adapters, s.engine.coming, s.engine.loads = false, nil, nil, 0
+		s.relist()
+	}
 	id, born := s.id, s.born
 	s.mu.Unlock()
 	if err := s.listen(); err != nil {
@@ -132,6 +140,12 @@
 		return
 	}
 	attempt := r.Header.Get("Attempt-Id")
+	if !s.holds(r.Header.Get("Model")) {
+		w.Header().Set("Instance-Id", s.id)
+		w.Header().Set("Attempt-Id", attempt)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	w.Header().Set("Attempt-Id", attempt)
 	if _, err := io.Copy(io.Discard, r.Body); err != nil || attempt == "" {
 		w.Header().Set("Not-Executed", "1")
@@ -184,6 +198,17 @@
 	s.stream(w, r)
 }
 
+// holds reports whether the server holds what a request names.
+func (s *server) holds(model string) bool {
+	if s.engine == nil || model == "" {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name, adapter, _ := strings.Cut(model, "/")
+	return s.engine.held && name == s.engine.model && (adapter == "" || slices.Contains(s.engine.adapters, adapter))
+}
+
 // stream sends events with increasing ids, from the one after Last-Event-Id.
 func (s *server) stream(w http.ResponseWriter, r *http.Request) {
 	first := 1
@@ -216,16 +241,19 @@
 func (s *server) report(w http.ResponseWriter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	coming := []string{}
+	if s.engine != nil {
+		for _, a := range s.engine.coming {
+			coming = append(coming, s.engine.model+"/"+a+"@1")
+		}
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{
-		"id": s.id, "born": s.born, "stage": "both", "models": s.models, "busy": false, "seq": s.seq, "queued": 0, "active": s.running,
-		"kv_used": 0, "kv_total": 253369, "handles": 0, "coming": []string{},
+		"id": s.id, "born": s.born, "stage": "both", "models": s.modelStates(), "busy": false, "seq": s.seq, "queued": 0, "active": s.running,
+		"kv_used": 0, "kv_total": 253369, "handles": 0, "coming": coming,
 	})
 }
 
-// order answers an order. What these cases load is there from the start.
-func (s *server) order(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
-
 // allRuns returns the runs so far.
 func (s *server) allRuns() []execution {
 	s.mu.Lock()
