--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -29,6 +29,7 @@
 	"large-bodies":  caseBodies,
 	"same-lookup":   caseLookup,
 	"odd-entry":     caseOddEntry,
+	"herd-takeup":   caseHerdTakeUp,
 	"late-load":     caseLateLoad,
 	"split-takeup":  caseSplitTakeUp,
 	"leader-takeup": caseLeaderTakeUp,
--- a/review/harness/takeup.go
+++ b/review/harness/takeup.go
@@ -156,11 +156,16 @@
 	return streams, done
 }
 
-// takeUp kills the machine that serves the streams. Their callers take them up at another one, where as many others begin new
-// streams. It compares the shares of both that go on and begin.
+// takeUp kills the machine that serves the streams. Their callers take them up at another one at once.
 func (f *fleet) takeUp(ctx context.Context, streams []*stream, broken chan struct{}) error {
 	f.rec.add("the process of %s is killed; the callers of its streams take these up at %s", f.front[0].name, f.front[1].name)
 	f.front[0].signal(syscall.SIGKILL)
+	return f.judgeTakeUp(ctx, streams, broken)
+}
+
+// judgeTakeUp has the callers of streams that were broken off take these up at the second front machine, where as many others begin new
+// streams.
+func (f *fleet) judgeTakeUp(ctx context.Context, streams []*stream, broken chan struct{}) error {
 	select {
 	case <-broken:
 	case <-ctx.Done():
@@ -243,37 +248,8 @@
 // caseTenantTakeUp: two software versions of a service serve side by side. The desired state gives a key to a tenant of another name
 // while streams of the key's callers run, which take them up at another front machine after theirs was killed.
 func caseTenantTakeUp(ctx context.Context, f *fleet, trouble bool) error {
-	o := operator{f}
-	add := func(i int, version string) error {
-		return f.addServer(30+i, 8080, &server{
-			id: fmt.Sprintf("i-7f3a91c%d", i), service: "huvo11a", version: version, slots: 64, events: streamEvents, gap: eventGap,
-			models: []modelState{{Name: "m0", Version: 1, Adapters: []string{}}},
-		})
-	}
-	for i := range 2 {
-		if err := add(i, "v1"); err != nil {
-			return err
-		}
-	}
-	if err := f.start(ctx); err != nil {
-		return err
-	}
-	if err := o.replace(ctx, desired(1, "huvo11a")); err != nil {
-		return err
-	}
-	if err := f.awaitReady(ctx, f.front...); err != nil {
-		return err
-	}
-	if err := sleep(ctx, 2*contact); err != nil {
-		return err
-	}
-	for i := range 2 {
-		if err := add(2+i, "v2"); err != nil {
-			return err
-		}
-	}
-	f.rec.add("two servers of version v2 serve beside two of version v1")
-	if err := sleep(ctx, contact); err != nil {
+	o, err := f.startVersions(ctx, desired(1, "huvo11a"))
+	if err != nil {
 		return err
 	}
 	streams, broken := f.beginStreams(ctx, f.front[0], streamCount)
