--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -36,12 +36,14 @@
 	engine *engine
 	fleet  *fleet
 
-	mu      sync.Mutex
-	http    *http.Server
-	starts  int
-	running int
-	seq     int
-	runs    []execution
+	mu sync.Mutex
+	// crashedAt holds when the server crashed.
+	crashedAt []time.Time
+	http      *http.Server
+	starts    int
+	running   int
+	seq       int
+	runs      []execution
 }
 
 // execution is one run of a request.
@@ -100,6 +102,9 @@
 	if srv.Close() != nil {
 		return
 	}
+	s.mu.Lock()
+	s.crashedAt = append(s.crashedAt, time.Now())
+	s.mu.Unlock()
 	s.rec.add("server %s crashes in its start %d, running %s", s.id, start, cause)
 	time.Sleep(downTime)
 	s.mu.Lock()
