--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -30,6 +30,7 @@
 	"same-lookup":   caseLookup,
 	"odd-entry":     caseOddEntry,
 	"herd-takeup":   caseHerdTakeUp,
+	"no-tenants":    caseNoTenants,
 	"late-load":     caseLateLoad,
 	"split-takeup":  caseSplitTakeUp,
 	"leader-takeup": caseLeaderTakeUp,
