--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,4 +6,4 @@
 for program in review/bin/harness target/jasmine-platform-entry target/jasmine-platform-control; do
   [ -x "$program" ] || { echo "$program is missing: build first" >&2; exit 2; }
 done
-exec review/bin/harness odd-entry review/4
+exec review/bin/harness split-takeup review/4
