--- a/review/harness2/case7.go
+++ b/review/harness2/case7.go
@@ -4,83 +4,151 @@
 	"fmt"
 	"net"
 	"strings"
-	"sync/atomic"
+	"sync"
+	"syscall"
 	"time"
 )
 
-const (
-	// crowdSize is the number of callers that stop short of the end of their bodies, all at one host. It may have 4,100
-	// descriptors.
-	crowdSize = 2300
-	// headFields is the number of fields of each of their heads, which stay below max_header_bytes.
-	headFields = 1200
-	// maxHeaderBytes is the limit of the desired state.
-	maxHeaderBytes = 16384
-	// crowdBodyBytes and crowdChunkBytes are the sizes of the bodies and of their chunks.
-	crowdBodyBytes  = 30000
-	crowdChunkBytes = 50
-)
+// movedDocument returns a desired state whose route /estado/ goes to the service.
+func movedDocument(version int, service string) map[string]any {
+	return documentOf(version, []any{
+		routeOf("r-moved", "/estado/", "safe", service, 3000, 2),
+		routeOf("r-old", "/antiguo/", "safe", "antiguo", 3000, 2),
+		routeOf("r-new", "/nuevo/", "safe", "nuevo", 3000, 2),
+	}, []any{serviceOf("antiguo", 110), serviceOf("nuevo", 110)})
+}
 
-// crowdedHeads has many callers send requests whose heads and chunked bodies are within the limits, and stop just short of
-// the ends of the bodies.
-func crowdedHeads(rec *record, trouble bool) (bool, error) {
-	f, err := newFleet(rec, 3, 2)
+// run is one run of a request at a server.
+type run struct {
+	service string
+	at      time.Time
+}
+
+// staleHelper has a host that is partitioned from the servers pass a request on to a host that was suspended while the
+// configuration changed.
+func staleHelper(rec *record, trouble bool) (bool, error) {
+	f, err := newFleet(rec, 3, 3)
 	if err != nil {
 		return false, err
 	}
 	defer f.close()
-	for i := range 3 {
-		if _, err := f.platform.addServer(i, "registro", func(_ *server, c net.Conn, r *request) bool {
-			time.Sleep(20 * time.Millisecond)
-			return success(c, r, "ok")
+	// The host in the zone of the partitioned one serves single requests, and the other one helps when there are many.
+	f.entries()[2].zone = f.entries()[0].zone
+	var mu sync.Mutex
+	runs := map[string][]run{}
+	for i := range 4 {
+		if _, err := f.platform.addServer(i, []string{"antiguo", "nuevo"}[i/2], func(s *server, c net.Conn, r *request) bool {
+			id := r.header.Get("Attempt-Id")
+			mu.Lock()
+			runs[id] = append(runs[id], run{s.service, time.Now()})
+			mu.Unlock()
+			if strings.HasPrefix(id, "asked-") {
+				rec.logf("run     %s at %s (%s)", id, s.id, s.service)
+			}
+			time.Sleep(100 * time.Millisecond)
+			return success(c, r, s.service)
 		}); err != nil {
 			return false, err
 		}
 	}
-	if err := f.startAll(plainDocument(7)); err != nil {
+	if err := f.startAll(movedDocument(7, "antiguo")); err != nil {
 		return false, err
 	}
-	target := f.entries()[0]
-	var broken atomic.Bool
-	endWatch := watchMemory(rec, f.entries(), &broken)
-	endOrdinary := ordinaryCallers(rec, target, "/reserva/x")
-	time.Sleep(time.Second)
-	var crowd []net.Conn
+	entry, suspended := f.entries()[0], f.entries()[1]
+	for range 3 {
+		for _, h := range f.entries() {
+			warm(h, "/antiguo/w", 56)
+			warm(h, "/nuevo/w", 56)
+		}
+	}
 	if trouble {
-		crowd = openCrowd(rec, target)
+		f.cutOff(entry)
+	}
+	for range 20 { // the host finds out that it is partitioned
+		warm(entry, "/estado/w", 2)
+		time.Sleep(100 * time.Millisecond)
+	}
+	for _, h := range f.entries()[1:] {
+		warm(h, "/antiguo/w", 4)
+		warm(h, "/nuevo/w", 4)
 	}
-	time.Sleep(4 * time.Second)
-	endOrdinary()
-	endWatch()
-	for _, c := range crowd {
-		_ = c.Close()
+	if trouble {
+		for range 3 { // both hosts have served relayed requests just now
+			warm(entry, "/antiguo/w", 12)
+		}
+		rec.logf("%s is suspended", suspended.name)
+		suspended.signal(syscall.SIGSTOP)
 	}
-	return broken.Load(), nil
+	thaw := time.Now().Add(1400 * time.Millisecond)
+	if err := f.replaceConfig(movedDocument(8, "nuevo"), 2*time.Second); err != nil {
+		return false, err
+	}
+	acked := time.Now()
+	sent := map[string]time.Time{}
+	var callers sync.WaitGroup
+	burst, inBurst := 0, 0
+	for i := 0; time.Now().Before(thaw); i++ {
+		// A few callers come one by one, and then more and more at once.
+		if time.Since(acked) < calm {
+			time.Sleep(50 * time.Millisecond)
+		} else if inBurst--; inBurst <= 0 {
+			burst = min(burst+burstStep, maxBurst)
+			inBurst = burst
+			time.Sleep(150 * time.Millisecond)
+		}
+		id := fmt.Sprintf("asked-%03d", i)
+		sent[id] = time.Now()
+		callers.Go(func() {
+			c, err := dialHost(entry)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			_, _ = fmt.Fprintf(c, "GET /estado/%s HTTP/1.1\r\nHost: fair.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 3000\r\nCredential: %s\r\n\r\n", id, id, apiKey)
+			a, err := c.read(4 * time.Second)
+			rec.logf("answer  %s: status %d from %q, %v", id, a.status, a.body, err)
+		})
+	}
+	if trouble {
+		rec.logf("%s goes on", suspended.name)
+		suspended.signal(syscall.SIGCONT)
+	}
+	callers.Wait()
+	return judgeStale(rec, sent, runs, acked), nil
 }
 
-// openCrowd opens the connections of the crowd, each with a request whose last chunk is missing.
-func openCrowd(rec *record, target *host) []net.Conn {
-	var head, body strings.Builder
-	fmt.Fprint(&head, "POST /reserva/x HTTP/1.1\r\nHost: fair.example\r\nCredential: "+apiKey+"\r\nDeadline-Ms: 3000\r\nTransfer-Encoding: chunked\r\n")
-	for i := range headFields {
-		fmt.Fprintf(&head, "F-%04d: vv\r\n", i)
-	}
-	for n := 0; n < crowdBodyBytes; n += crowdChunkBytes {
-		fmt.Fprintf(&body, "%x\r\n%s\r\n", crowdChunkBytes, strings.Repeat("b", crowdChunkBytes))
+// calm is how long callers come one by one after the ack, and burstStep by how many callers a burst is larger than the one
+// before.
+const (
+	calm      = 650 * time.Millisecond
+	burstStep = 5
+	maxBurst  = 25
+)
+
+// rollbackSlack is rollback_slack_ms.
+const rollbackSlack = 250 * time.Millisecond
+
+// judgeStale checks that no request sent to the host more than rollback_slack_ms after a server saw the effect of the newer
+// version was run by the service of the older one.
+func judgeStale(rec *record, sent map[string]time.Time, runs map[string][]run, acked time.Time) bool {
+	var effect time.Time
+	for id := range sent {
+		for _, r := range runs[id] {
+			if r.service == "nuevo" && (effect.IsZero() || r.at.Before(effect)) {
+				effect = r.at
+			}
+		}
 	}
-	rec.logf("each of %d callers sends a head of about %d bytes (limit %d) with %d fields, and %d bytes of a chunked body without its end",
-		crowdSize, head.Len()+30, maxHeaderBytes, headFields, crowdBodyBytes)
-	var conns []net.Conn
-	for i := range crowdSize {
-		c, err := dialHost(target)
-		if err != nil {
-			rec.logf("connection %d: %v", i, err)
-			break
+	rec.logf("effect of the newer version seen %d ms after its ack", effect.Sub(acked).Milliseconds())
+	broken := false
+	for id, at := range sent {
+		for _, r := range runs[id] {
+			if r.service == "antiguo" && !effect.IsZero() && at.Sub(effect) > rollbackSlack {
+				broken = true
+				rec.logf("%s, sent %d ms after the effect was seen and %d ms after the ack, was run by the service of the older version %d ms after the ack",
+					id, at.Sub(effect).Milliseconds(), at.Sub(acked).Milliseconds(), r.at.Sub(acked).Milliseconds())
+			}
 		}
-		conns = append(conns, c)
-		_ = c.SetWriteDeadline(time.Now().Add(time.Second))
-		_, _ = fmt.Fprintf(c, "%sAttempt-Id: crowd-%d\r\n\r\n%s", head.String(), i, body.String())
 	}
-	rec.logf("%d connections are open", len(conns))
-	return conns
+	return broken
 }
--- a/review/harness2/case8.go
+++ b/review/harness2/case8.go
@@ -4,94 +4,83 @@
 	"fmt"
 	"net"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 )
 
 const (
-	// troubledServers is the number of servers of the service in trouble; all of them send heads without end.
-	troubledServers = 9
-	// askInterval is the time between two requests to that service at one host: two hosts then get what the site file's
-	// zones send together.
-	askInterval = 8 * time.Millisecond
-	// burstBytes are sent of an endless head at once, then one line at a time.
-	burstBytes = 56 << 10
+	// crowdSize is the number of callers that stop short of the end of their bodies, all at one host. It may have 4,100
+	// descriptors.
+	crowdSize = 2300
+	// headFields is the number of fields of each of their heads, which stay below max_header_bytes.
+	headFields = 1200
+	// maxHeaderBytes is the limit of the desired state.
+	maxHeaderBytes = 16384
+	// crowdBodyBytes and crowdChunkBytes are the sizes of the bodies and of their chunks.
+	crowdBodyBytes  = 30000
+	crowdChunkBytes = 50
 )
 
-// endlessHeads has the servers of one service send heads without end, while another service is sound.
-func endlessHeads(rec *record, trouble bool) (bool, error) {
+// crowdedHeads has many callers send requests whose heads and chunked bodies are within the limits, and stop just short of
+// the ends of the bodies.
+func crowdedHeads(rec *record, trouble bool) (bool, error) {
 	f, err := newFleet(rec, 3, 2)
 	if err != nil {
 		return false, err
 	}
 	defer f.close()
-	var inTrouble atomic.Bool
-	var lines strings.Builder
-	for i := 0; lines.Len() < burstBytes; i++ {
-		fmt.Fprintf(&lines, "%c%c%c:\r\n", 'a'+i%26, 'a'+i/26%26, 'a'+i/676%26)
-	}
-	for i := range troubledServers {
-		if _, err := f.platform.addServer(i, "asistente", func(_ *server, c net.Conn, r *request) bool {
-			if inTrouble.Load() {
-				return sendEndlessHead(c, lines.String())
-			}
-			time.Sleep(20 * time.Millisecond)
-			return success(c, r, "ok")
-		}); err != nil {
-			return false, err
-		}
-	}
 	for i := range 3 {
-		if _, err := f.platform.addServer(troubledServers+i, "registro", func(_ *server, c net.Conn, r *request) bool {
+		if _, err := f.platform.addServer(i, "registro", func(_ *server, c net.Conn, r *request) bool {
 			time.Sleep(20 * time.Millisecond)
 			return success(c, r, "ok")
 		}); err != nil {
 			return false, err
 		}
 	}
-	document := documentOf(7, []any{
-		routeOf("r-ask", "/consulta/", "unsafe", "asistente", 6000, 1),
-		routeOf("r-unsafe", "/reserva/", "unsafe", "registro", 3000, 1),
-	}, []any{serviceOf("asistente", 370), serviceOf("registro", 110)})
-	if err := f.startAll(document); err != nil {
+	if err := f.startAll(plainDocument(7)); err != nil {
 		return false, err
 	}
 	target := f.entries()[0]
 	var broken atomic.Bool
 	endWatch := watchMemory(rec, f.entries(), &broken)
 	endOrdinary := ordinaryCallers(rec, target, "/reserva/x")
-	if inTrouble.Store(trouble); trouble {
-		rec.logf("all %d servers of the service asistente send heads without end", troubledServers)
-	}
-	var callers sync.WaitGroup
-	var mu sync.Mutex
-	got := map[string]int{}
-	end := time.Now().Add(6 * time.Second)
-	for i := 0; time.Now().Before(end); i++ {
-		callers.Go(func() {
-			outcome := askOnce(target, "/consulta/x", fmt.Sprintf("asked-%d", i))
-			mu.Lock()
-			defer mu.Unlock()
-			got[outcome]++
-		})
-		time.Sleep(askInterval)
+	time.Sleep(time.Second)
+	var crowd []net.Conn
+	if trouble {
+		crowd = openCrowd(rec, target)
 	}
-	callers.Wait()
+	time.Sleep(4 * time.Second)
 	endOrdinary()
 	endWatch()
-	for outcome, n := range got {
-		rec.logf("callers of the service asistente: %d times %s", n, outcome)
+	for _, c := range crowd {
+		_ = c.Close()
 	}
 	return broken.Load(), nil
 }
 
-// sendEndlessHead sends a head until the caller closes.
-func sendEndlessHead(c net.Conn, lines string) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s", lines)
-	for i := 0; err == nil; i++ {
-		time.Sleep(200 * time.Millisecond)
-		_, err = fmt.Fprintf(c, "G%06d:\r\n", i)
+// openCrowd opens the connections of the crowd, each with a request whose last chunk is missing.
+func openCrowd(rec *record, target *host) []net.Conn {
+	var head, body strings.Builder
+	fmt.Fprint(&head, "POST /reserva/x HTTP/1.1\r\nHost: fair.example\r\nCredential: "+apiKey+"\r\nDeadline-Ms: 3000\r\nTransfer-Encoding: chunked\r\n")
+	for i := range headFields {
+		fmt.Fprintf(&head, "F-%04d: vv\r\n", i)
+	}
+	for n := 0; n < crowdBodyBytes; n += crowdChunkBytes {
+		fmt.Fprintf(&body, "%x\r\n%s\r\n", crowdChunkBytes, strings.Repeat("b", crowdChunkBytes))
+	}
+	rec.logf("each of %d callers sends a head of about %d bytes (limit %d) with %d fields, and %d bytes of a chunked body without its end",
+		crowdSize, head.Len()+30, maxHeaderBytes, headFields, crowdBodyBytes)
+	var conns []net.Conn
+	for i := range crowdSize {
+		c, err := dialHost(target)
+		if err != nil {
+			rec.logf("connection %d: %v", i, err)
+			break
+		}
+		conns = append(conns, c)
+		_ = c.SetWriteDeadline(time.Now().Add(time.Second))
+		_, _ = fmt.Fprintf(c, "%sAttempt-Id: crowd-%d\r\n\r\n%s", head.String(), i, body.String())
 	}
-	return false
+	rec.logf("%d connections are open", len(conns))
+	return conns
 }
--- a/review/harness2/case9.go
+++ b/review/harness2/case9.go
@@ -10,104 +10,88 @@
 )
 
 const (
-	// partitionedHosts is the number of hosts of one zone, which all are partitioned from the servers. One host of another
-	// zone is not.
-	partitionedHosts = 3
-	// bodiesPerHost is the number of callers that send large bodies to each host at the same time, and bodyRounds how often.
-	bodiesPerHost = 13
-	bodyRounds    = 3
+	// troubledServers is the number of servers of the service in trouble; all of them send heads without end.
+	troubledServers = 9
+	// askInterval is the time between two requests to that service at one host: two hosts then get what the site file's
+	// zones send together.
+	askInterval = 8 * time.Millisecond
+	// burstBytes are sent of an endless head at once, then one line at a time.
+	burstBytes = 56 << 10
 )
 
-// warm opens connections of a host to the servers by requests that run at the same time.
-func warm(h *host, path string, n int) {
-	var wg sync.WaitGroup
-	for i := range n {
-		wg.Go(func() {
-			_ = askOnce(h, path, fmt.Sprintf("warm-%s-%d-%d", h.name, time.Now().UnixNano(), i))
-		})
-	}
-	wg.Wait()
-}
-
-// relayedBodies has callers send large bodies to hosts that are partitioned from all servers.
-func relayedBodies(rec *record, trouble bool) (bool, error) {
-	f, err := newFleet(rec, 3, partitionedHosts+1)
+// endlessHeads has the servers of one service send heads without end, while another service is sound.
+func endlessHeads(rec *record, trouble bool) (bool, error) {
+	f, err := newFleet(rec, 3, 2)
 	if err != nil {
 		return false, err
 	}
 	defer f.close()
-	for i, h := range f.entries() {
-		h.zone = []string{"heredia", "cartago"}[i/partitionedHosts]
+	var inTrouble atomic.Bool
+	var lines strings.Builder
+	for i := 0; lines.Len() < burstBytes; i++ {
+		fmt.Fprintf(&lines, "%c%c%c:\r\n", 'a'+i%26, 'a'+i/26%26, 'a'+i/676%26)
 	}
-	var work atomic.Int64
-	work.Store(int64(100 * time.Millisecond))
-	for i := range 3 {
-		if _, err := f.platform.addServer(i, "registro", func(_ *server, c net.Conn, r *request) bool {
-			time.Sleep(time.Duration(work.Load()))
+	for i := range troubledServers {
+		if _, err := f.platform.addServer(i, "asistente", func(_ *server, c net.Conn, r *request) bool {
+			if inTrouble.Load() {
+				return sendEndlessHead(c, lines.String())
+			}
+			time.Sleep(20 * time.Millisecond)
 			return success(c, r, "ok")
 		}); err != nil {
 			return false, err
 		}
 	}
-	if err := f.startAll(plainDocument(7)); err != nil {
-		return false, err
-	}
-	for range 3 {
-		for _, h := range f.entries() {
-			warm(h, "/estado/w", 60)
+	for i := range 3 {
+		if _, err := f.platform.addServer(troubledServers+i, "registro", func(_ *server, c net.Conn, r *request) bool {
+			time.Sleep(20 * time.Millisecond)
+			return success(c, r, "ok")
+		}); err != nil {
+			return false, err
 		}
 	}
-	zone := f.entries()[:partitionedHosts]
-	if trouble {
-		f.cutOff(zone...)
-	}
-	for range 20 { // the hosts find out that they are partitioned
-		for _, h := range zone {
-			warm(h, "/estado/w", 2)
-		}
-		time.Sleep(100 * time.Millisecond)
+	document := documentOf(7, []any{
+		routeOf("r-ask", "/consulta/", "unsafe", "asistente", 6000, 1),
+		routeOf("r-unsafe", "/reserva/", "unsafe", "registro", 3000, 1),
+	}, []any{serviceOf("asistente", 370), serviceOf("registro", 110)})
+	if err := f.startAll(document); err != nil {
+		return false, err
 	}
-	work.Store(int64(800 * time.Millisecond))
+	target := f.entries()[0]
 	var broken atomic.Bool
 	endWatch := watchMemory(rec, f.entries(), &broken)
-	body := strings.Repeat("b", maxBodyBytes)
+	endOrdinary := ordinaryCallers(rec, target, "/reserva/x")
+	if inTrouble.Store(trouble); trouble {
+		rec.logf("all %d servers of the service asistente send heads without end", troubledServers)
+	}
+	var callers sync.WaitGroup
 	var mu sync.Mutex
 	got := map[string]int{}
-	var callers sync.WaitGroup
-	for _, h := range f.entries() {
-		rec.logf("%d callers of %s send %d bodies of %d bytes each (limit %d)", bodiesPerHost, h.name, bodyRounds, len(body), maxBodyBytes)
-		for i := range bodiesPerHost {
-			callers.Go(func() {
-				for round := range bodyRounds {
-					outcome := sendBody(h, fmt.Sprintf("big-%s-%d-%d", h.name, i, round), body)
-					mu.Lock()
-					got[h.name+" "+outcome]++
-					mu.Unlock()
-				}
-			})
-		}
+	end := time.Now().Add(6 * time.Second)
+	for i := 0; time.Now().Before(end); i++ {
+		callers.Go(func() {
+			outcome := askOnce(target, "/consulta/x", fmt.Sprintf("asked-%d", i))
+			mu.Lock()
+			defer mu.Unlock()
+			got[outcome]++
+		})
+		time.Sleep(askInterval)
 	}
 	callers.Wait()
+	endOrdinary()
 	endWatch()
 	for outcome, n := range got {
-		rec.logf("callers with large bodies: %d times %s", n, outcome)
+		rec.logf("callers of the service asistente: %d times %s", n, outcome)
 	}
 	return broken.Load(), nil
 }
 
-// sendBody sends a request with a body and returns what came of it.
-func sendBody(h *host, id, body string) string {
-	c, err := dialHost(h)
-	if err != nil {
-		return "no connection"
-	}
-	defer c.Close()
-	_ = c.SetWriteDeadline(time.Now().Add(3 * time.Second))
-	_, _ = fmt.Fprintf(c, "POST /estado/x HTTP/1.1\r\nHost: fair.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 3000\r\nCredential: %s\r\nContent-Length: %d\r\n\r\n%s",
-		id, apiKey, len(body), body)
-	a, err := c.read(4 * time.Second)
-	if err != nil {
-		return "closed without an answer"
+// sendEndlessHead sends a head until the caller closes.
+func sendEndlessHead(c net.Conn, lines string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s", lines)
+	for i := 0; err == nil; i++ {
+		time.Sleep(200 * time.Millisecond)
+		_, err = fmt.Fprintf(c, "G%06d:\r\n", i)
 	}
-	return fmt.Sprintf("status %d", a.status)
+	return false
 }
