--- a/review/harness2/case9.go
+++ b/review/harness2/case9.go
@@ -15,6 +15,15 @@
 	// askInterval is the time between two requests to that service at one host: two hosts then get what the site file's
 	// zones send together.
 	askInterval = 8 * time.Millisecond
+	// The trouble comes troubles times, for troubleTime each, with calmTime behind it; restartDelay is the time after which the
+	// platform starts a process that ended.
+	troubles     = 4
+	troubleTime  = 6 * time.Second
+	calmTime     = 5 * time.Second
+	restartDelay = 500 * time.Millisecond
+	// endsOfFault and machinesOfFault are the bounds of the rule.
+	endsOfFault     = 3
+	machinesOfFault = 2
 	// burstBytes are sent of an endless head at once, then one line at a time.
 	burstBytes = 56 << 10
 )
@@ -57,33 +66,54 @@
 	if err := f.startAll(document); err != nil {
 		return false, err
 	}
-	target := f.entries()[0]
-	var broken atomic.Bool
-	endWatch := watchMemory(rec, f.entries(), &broken)
-	endOrdinary := ordinaryCallers(rec, target, "/reserva/x")
-	if inTrouble.Store(trouble); trouble {
-		rec.logf("all %d servers of the service asistente send heads without end", troubledServers)
+	var mu sync.Mutex
+	ends := map[string]int{}
+	endWatch := watchEnds(rec, f.entries(), func(h *host) {
+		mu.Lock()
+		ends[h.name]++
+		mu.Unlock()
+		time.Sleep(restartDelay)
+		if err := f.start(h, false); err != nil {
+			rec.logf("%s: %v", h.name, err)
+		}
+	})
+	var endOrdinary []func()
+	for _, h := range f.entries() {
+		endOrdinary = append(endOrdinary, ordinaryCallers(rec, h, "/reserva/x"))
 	}
 	var callers sync.WaitGroup
-	var mu sync.Mutex
 	got := map[string]int{}
-	end := time.Now().Add(6 * time.Second)
-	for i := 0; time.Now().Before(end); i++ {
-		callers.Go(func() {
-			outcome := askOnce(target, "/consulta/x", fmt.Sprintf("asked-%d", i))
-			mu.Lock()
-			defer mu.Unlock()
-			got[outcome]++
-		})
+	began := time.Now()
+	for i := 0; time.Since(began) < troubles*(troubleTime+calmTime); i++ {
+		if now := trouble && time.Since(began)%(troubleTime+calmTime) < troubleTime; inTrouble.Swap(now) != now {
+			rec.logf("all %d servers of the service asistente send heads without end: %v", troubledServers, now)
+		}
+		for _, h := range f.entries() {
+			callers.Go(func() {
+				outcome := askOnce(h, "/consulta/x", fmt.Sprintf("asked-%s-%d", h.name, i))
+				mu.Lock()
+				defer mu.Unlock()
+				got[outcome]++
+			})
+		}
 		time.Sleep(askInterval)
 	}
 	callers.Wait()
-	endOrdinary()
+	for _, end := range endOrdinary {
+		end()
+	}
 	endWatch()
 	for outcome, n := range got {
 		rec.logf("callers of the service asistente: %d times %s", n, outcome)
 	}
-	return broken.Load(), nil
+	machines := 0
+	for name, n := range ends {
+		rec.logf("the process of %s ended %d times", name, n)
+		if n >= endsOfFault {
+			machines++
+		}
+	}
+	return machines >= machinesOfFault, nil
 }
 
 // sendEndlessHead sends a head until the caller closes.
--- a/review/harness2/memory.go
+++ b/review/harness2/memory.go
@@ -11,6 +11,11 @@
 // watchMemory has the platform kill a process that uses more than the memory of its machine. The returned function ends the
 // watch.
 func watchMemory(rec *record, hosts []*host, broken *atomic.Bool) (end func()) {
+	return watchEnds(rec, hosts, func(*host) { broken.Store(true) })
+}
+
+// watchEnds is watchMemory with a function that is called after each end.
+func watchEnds(rec *record, hosts []*host, ended func(*host)) (end func()) {
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	for _, h := range hosts {
@@ -26,10 +31,10 @@
 				mb := residentMB(h.pid())
 				most = max(most, mb)
 				if mb > float64(h.memoryMB) && h.running() {
-					broken.Store(true)
 					rec.logf("%s uses %.0f MB, its machine has %d MB: the platform kills it", h.name, mb, h.memoryMB)
 					h.signal(syscall.SIGKILL)
-					time.Sleep(100 * time.Millisecond)
+					<-h.ended
+					ended(h)
 				}
 			}
 		})
