OpenAI-style entry hosts: a response that is reset while its request is written is no complete one

Cause: net/http closes the connection when the write fails, but the read of the body may see the ordinary end first.

Change: the connection reports its end only once the request has been written, when a response ends with it; net/http closes the connection after that, so that the rest of the request can still be written to a server that reads on. Package upload has the wait that h1 had, for both.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/upload"
 )
 
 const (
@@ -29,9 +31,6 @@
 	// asyncBodyBytes is the size above which a body is written while the
 	// response is read: a server may respond before it has read a long body.
 	asyncBodyBytes = 16 << 10
-	// maxUploadLag is how long after a response that ends with its connection the rest of the request may
-	// take to be written. A server that closes in order reads on meanwhile.
-	maxUploadLag = 2 * time.Second
 	// idleMargin is how long before the server's announced idle timeout a
 	// connection is closed, to allow for the time that a request takes to
 	// arrive.
@@ -63,7 +62,6 @@
 var (
 	errIDMismatch = errors.New("the response does not echo the request's identifier")
 	errConnLimit  = errors.New("all connections to the server are in use")
-	errUnread     = errors.New("the connection ended before the server had read the request")
 )
 
 // Field is one header field.
@@ -258,41 +256,24 @@
 	// dirty is true when the connection must not be reused.
 	dirty bool
 	// upload is the write of a body that runs while the response is read; nil when all was written before.
-	upload   *upload
+	upload   *upload.Upload
 	bodyRead bool
 }
 
-// upload is a write that runs while the response is read.
-type upload struct {
-	done chan struct{}
-	err  error // valid once done is closed
-}
-
-// wait waits for the end of the write, but not longer than the time, and returns its error.
-func (u *upload) wait(limit time.Duration) error {
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-u.done:
-		return u.err
-	case <-timer.C:
-		return errUnread
-	}
-}
-
 func (r *Response) write(req *Request) (sent bool, err error) {
 	head := req.header()
 	if len(req.Body) <= asyncBodyBytes {
 		n, err := r.conn.Write(append(head, req.Body...))
 		return n > 0, err
 	}
-	u, c := &upload{done: make(chan struct{})}, r.conn
+	u, c := upload.New(), r.conn
 	r.upload = u
 	go func() {
-		defer close(u.done)
-		if _, u.err = c.Write(head); u.err == nil {
-			_, u.err = c.Write(req.Body)
+		_, err := c.Write(head)
+		if err == nil {
+			_, err = c.Write(req.Body)
 		}
+		u.End(err)
 	}()
 	return true, nil
 }
@@ -344,16 +325,12 @@
 	return n, err
 }
 
-// end returns io.EOF if the body that was read is complete. An operating system reports the reset of a connection
-// once: if the write of the request takes that error, the read returns an ordinary end. A server that has crashed may
-// also close in order, and resets the connection on what arrives later. So a body that ends with its connection is
-// complete only if the server has read the whole request.
+// end returns io.EOF if the body that was read is complete.
 func (r *Response) end() error {
-	if !r.EndsWithConnection || r.upload == nil {
-		return io.EOF
-	}
-	if err := r.upload.wait(maxUploadLag); err != nil {
-		return errors.Wrap(err, "the end of the response")
+	if r.EndsWithConnection && r.upload != nil {
+		if err := r.upload.Wait(); err != nil {
+			return err
+		}
 	}
 	return io.EOF
 }
@@ -378,13 +355,8 @@
 	if r.stop != nil && !r.stop() {
 		r.dirty = true
 	}
-	if !r.dirty && r.upload != nil {
-		select {
-		case <-r.upload.done:
-			r.dirty = r.upload.err != nil
-		default:
-			r.dirty = true
-		}
+	if r.upload != nil && !r.upload.Succeeded() {
+		r.dirty = true
 	}
 	if !r.dirty && c.reader.Buffered() > 0 {
 		r.dirty = true
--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/upload"
 )
 
 var errSealed = errors.New("connection is sealed because its request has ended")
@@ -23,6 +26,32 @@
 	sealed  bool
 	pending int
 	written int64
+	// last is the write of a request whose response ends with the connection; nil before such a response.
+	last *upload.Upload
+}
+
+// Read returns io.EOF at the end of the connection, unless that may have cut a response off.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	c.mu.Lock()
+	last := c.last
+	c.mu.Unlock()
+	if last != nil {
+		if err := last.Wait(); err != nil {
+			return n, err
+		}
+	}
+	return n, io.EOF
+}
+
+// endsResponse has the end of the connection count as that of a response only if the request has been written.
+func (c *conn) endsResponse(request *upload.Upload) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = request
 }
 
 func (c *conn) Write(p []byte) (int, error) {
@@ -63,6 +92,8 @@
 
 // Attempt records whether one request may have been sent. It must not be reused.
 type Attempt struct {
+	upload *upload.Upload
+
 	mu    sync.Mutex
 	used  []usedConn
 	ended bool
@@ -77,9 +108,11 @@
 
 type attemptKey struct{}
 
+func newAttempt() *Attempt { return &Attempt{upload: upload.New()} }
+
 // WithAttempt returns a context for one request, which the Attempt records.
 func WithAttempt(ctx context.Context) (context.Context, *Attempt) {
-	a := &Attempt{}
+	a := newAttempt()
 	return context.WithValue(ctx, attemptKey{}, a), a
 }
 
@@ -121,6 +154,18 @@
 	a.sent, a.ended = true, true
 }
 
+// endsWithConnection is called for a response whose body ends with its connection.
+func (a *Attempt) endsWithConnection() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.used) == 0 {
+		return
+	}
+	if c := a.used[len(a.used)-1].conn; c != nil {
+		c.endsResponse(a.upload)
+	}
+}
+
 // hasConn reports whether the request got a connection.
 func (a *Attempt) hasConn() bool {
 	a.mu.Lock()
@@ -129,7 +174,10 @@
 }
 
 func (a *Attempt) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: a.gotConn}
+	return &httptrace.ClientTrace{
+		GotConn:      a.gotConn,
+		WroteRequest: func(info httptrace.WroteRequestInfo) { a.upload.End(info.Err) },
+	}
 }
 
 // gotConn runs before the first byte of the request is written to the
--- a/internal/pool/roundtrip.go
+++ b/internal/pool/roundtrip.go
@@ -51,7 +51,7 @@
 func (t *roundTripper) RoundTrip(req *http.Request) (*http.Response, error) {
 	attempt, ok := req.Context().Value(attemptKey{}).(*Attempt)
 	if !ok {
-		attempt = &Attempt{}
+		attempt = newAttempt()
 	}
 	bounds := t.server.opts.bounds(req.Context())
 	r := &inFlight{server: t.server, gen: t.server.current(), parent: req.Context(), attempt: attempt}
@@ -71,6 +71,9 @@
 		return nil, requestErr
 	}
 	attempt.succeed()
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		attempt.endsWithConnection()
+	}
 	resp.Body = newBody(r, resp.Body, bounds.Gap)
 	return resp, nil
 }
