A response whose status is none is refused at once

Callers saw: after a response with status 000 they waited for their whole time and got 504, and nothing was sent to another server meanwhile; a response with a status of 600 to 999 was passed on as the server's error, with its seal.

Cause: net/http accepts any three digits. h1 took each status below 200 for an informational response and waited for the final one, also after 101, which nothing had asked for.

An informational status as a final one was accepted by the relay too. Status lines with 2000, -01, 20 and 2x0 were refused before; their tests stay.

Change: package wellformed checks the status where responses are read: 100 to 599 without 101 (RFC 9110, section 15). The attempt has failed then, its request may have run, and it is repeated where its route allows that.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -19,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/jasminesaddle/jasminesaddle/internal/upload"
+	"github.com/jasminesaddle/jasminesaddle/internal/wellformed"
 )
 
 const (
@@ -225,6 +226,9 @@
 	defer func() { c.limit.remaining = noHeaderLimit }()
 	for ; ; informational++ {
 		head, err = http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		if err == nil {
+			err = wellformed.Status(head.StatusCode)
+		}
 		if err != nil || head.StatusCode >= 200 {
 			return head, informational, err
 		}
--- /dev/null
+++ b/internal/pool/malformed_test.go
@@ -0,0 +1,54 @@
+package pool
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+)
+
+// respondRaw has a server respond with the bytes and then close the connection.
+func respondRaw(response string) func(c net.Conn) {
+	return func(c net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, response)
+		_ = c.Close()
+	}
+}
+
+// mustRefuse checks that a response is refused as one to a request that may have run.
+func mustRefuse(t *testing.T, response string) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		set := NewSet(Options{Dial: dialTo(respondRaw(response))})
+		defer set.Close()
+		for _, rt := range []http.RoundTripper{set.Transport("s"), set.SingleUse("s")} {
+			resp, err := post(t.Context(), rt)
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+			}
+			var e *Error
+			must.True(t, errors.As(err, &e), must.Sprintf("accepted: %q", response))
+			must.EqOp(t, fault.KindBackendFailed, fault.KindOf(err))
+			must.True(t, e.MayHaveSent)
+		}
+	})
+}
+
+// Guards against a response whose status is none that is taken for an answer.
+func TestResponseWithInvalidStatusIsRefused(t *testing.T) {
+	for _, status := range []string{"000 None", "000", "042 X", "099 X", "101 Switching Protocols", "600 X", "999 X"} {
+		t.Run(status, func(t *testing.T) {
+			mustRefuse(t, "HTTP/1.1 "+status+"\r\nContent-Length: 4\r\n\r\nboom")
+			mustRefuse(t, "HTTP/1.1 "+status+"\r\n\r\nboom")
+		})
+	}
+}
--- a/internal/pool/roundtrip.go
+++ b/internal/pool/roundtrip.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/jasminesaddle/jasminesaddle/internal/fault"
+	"github.com/jasminesaddle/jasminesaddle/internal/wellformed"
 )
 
 var (
@@ -58,9 +59,16 @@
 	r.ctx, r.cancel = context.WithCancelCause(req.Context())
 	firstByteTimer := time.AfterFunc(bounds.FirstByte, func() { r.cancel(errFirstByteTimeout) })
 	resp, err := r.send(req, t.singleUse)
-	if !firstByteTimer.Stop() && err == nil {
-		resp.Body.Close()
-		err = errFirstByteTimeout
+	inTime := firstByteTimer.Stop()
+	if err == nil {
+		if !inTime {
+			err = errFirstByteTimeout
+		} else {
+			err = wellformed.FinalStatus(resp.StatusCode)
+		}
+		if err != nil {
+			resp.Body.Close()
+		}
 	}
 	if err != nil {
 		if req.Body != nil {
@@ -124,6 +132,9 @@
 	case errors.Is(err, errTooManyConns):
 		e.fault = fault.Wrap(err, fault.KindOverloaded,
 			"backend server "+r.server.name+" has too many open connections", "try again later")
+	case errors.Is(err, wellformed.ErrMalformed):
+		e.fault = fault.Wrap(err, fault.KindBackendFailed,
+			"backend server "+r.server.name+" sent a malformed response", "check the backend server")
 	case e.MayHaveSent:
 		e.fault = fault.Wrap(err, fault.KindBackendFailed,
 			"the connection to backend server "+r.server.name+" failed during the request", "check the backend server")
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -12,6 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/singleflight"
+
+	"github.com/jasminesaddle/jasminesaddle/internal/wellformed"
 )
 
 // maxHeaderBytes limits the response header of a backend server.
@@ -179,6 +181,9 @@
 		return err
 	}
 	defer resp.Body.Close()
+	if err := wellformed.FinalStatus(resp.StatusCode); err != nil {
+		return err
+	}
 	// The connection returns to the transport only when the response is read to
 	// its end; the request that waits for the probe then reuses it.
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxProbeBytes)); err != nil {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -15,6 +15,7 @@
 	"github.com/jasminesaddle/jasminesaddle/internal/exchange"
 	"github.com/jasminesaddle/jasminesaddle/internal/gateway"
 	"github.com/jasminesaddle/jasminesaddle/internal/h1"
+	"github.com/jasminesaddle/jasminesaddle/internal/wellformed"
 )
 
 // errNoEnd is the error of a response whose end the receiver did not declare.
@@ -63,6 +64,10 @@
 	}
 	switch part := stream.Msg().GetPart().(type) {
 	case *apiv1.RelayResponse_Start:
+		if err := wellformed.FinalStatus(int(part.Start.GetStatus())); err != nil {
+			_ = b.Close()
+			return nil, h1.NewError(true, false, err)
+		}
 		return &gateway.Response{
 			Status: int(part.Start.GetStatus()), Header: decodeHeader(part.Start.GetFields()), Length: part.Start.GetLength(), Body: b,
 			FromBackend: true, Origin: originOf(part.Start), LeavingServer: leavingOf(part.Start),
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -176,6 +176,22 @@
 	must.Eq(t, fault.OutcomeUnknown, resp.Refusal.Run)
 }
 
+// Guards against a response that no backend server can have sent, as a helper of a release that accepts it passes it on.
+func TestMalformedResponseIsRefused(t *testing.T) {
+	for _, status := range []int{0, 42, 100, 101, 600, 999} {
+		f := startHelper(t)
+		f.respond = func(ctx context.Context) (*gateway.Response, error) {
+			resp, err := response("boom", nil)(ctx)
+			resp.Status = status
+			return resp, err
+		}
+		_, err := f.relay("/plain/x")
+		var he *h1.Error
+		must.True(t, errors.As(err, &he), must.Sprint("accepted: status ", status))
+		must.True(t, he.Sent)
+	}
+}
+
 // Guards against a false "not run", and against one that is withheld.
 func TestRelayTellsWhetherItRan(t *testing.T) {
 	f := startHelper(t)
