A response with a blank in the name of a field is refused

Callers saw: a response in whose head the name of a field held a blank, with that line passed on; with a blank before the colon of Content-Length, a body that the named length did not fit.

Cause: net/http accepts blanks in names and keeps such a field under the name with its blank, so that a length or a coding that it names goes unread.

A tab, control bytes, NUL, DEL, CR, delimiters and bytes above 0x7f in a name, an empty name and a line without a colon were refused before; their tests stay.

Change: package wellformed checks the names (RFC 9110, section 5.1) of heads and, at the end of a body, of trailers, where such a body was already incomplete for the other characters. The attempt has failed then, and is repeated where its route allows that.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -108,7 +109,7 @@
 type conn struct {
 	net.Conn
 	raw    syscall.RawConn
-	limit  limitedReader
+	head   headReader
 	reader *bufio.Reader
 	// expires is when an idle connection is closed, idleSince when it became
 	// idle.
@@ -138,32 +139,32 @@
 	c.failed = append(c.failed, id)
 }
 
-// limitedReader limits the number of bytes read for a header.
-type limitedReader struct {
+// headReader limits the number of bytes read for a header.
+type headReader struct {
 	r         io.Reader
 	remaining int64
 }
 
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remaining <= 0 {
+func (h *headReader) Read(p []byte) (int, error) {
+	if h.remaining <= 0 {
 		return 0, errors.New("the header of the response is too long")
 	}
-	if int64(len(p)) > l.remaining {
-		p = p[:l.remaining]
+	if int64(len(p)) > h.remaining {
+		p = p[:h.remaining]
 	}
-	n, err := l.r.Read(p)
-	l.remaining -= int64(n)
+	n, err := h.r.Read(p)
+	h.remaining -= int64(n)
 	return n, err
 }
 
 const noHeaderLimit = 1 << 62
 
 func newConn(c net.Conn) *conn {
-	out := &conn{Conn: c, limit: limitedReader{r: c, remaining: noHeaderLimit}}
+	out := &conn{Conn: c, head: headReader{r: c, remaining: noHeaderLimit}}
 	if s, ok := c.(syscall.Conn); ok {
 		out.raw, _ = s.SyscallConn()
 	}
-	out.reader = bufio.NewReaderSize(&out.limit, readBufferBytes)
+	out.reader = bufio.NewReaderSize(&out.head, readBufferBytes)
 	return out
 }
 
@@ -222,19 +223,25 @@
 // readFinalHeader reads a header and skips the informational responses before it, whose
 // number it returns.
 func (c *conn) readFinalHeader(r *Request) (head *http.Response, informational int, err error) {
-	c.limit.remaining = maxHeaderBytes
-	defer func() { c.limit.remaining = noHeaderLimit }()
+	c.head.remaining = maxHeaderBytes
+	defer func() { c.head.remaining = noHeaderLimit }()
 	for ; ; informational++ {
-		head, err = http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		if err == nil {
-			err = wellformed.Status(head.StatusCode)
-		}
+		head, err = c.readHeader(r)
 		if err != nil || head.StatusCode >= 200 {
 			return head, informational, err
 		}
 	}
 }
 
+// readHeader reads one header, which may be informational.
+func (c *conn) readHeader(r *Request) (*http.Response, error) {
+	head, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	if err != nil {
+		return nil, err
+	}
+	return head, cmp.Or(wellformed.Status(head.StatusCode), wellformed.Fields(head.Header))
+}
+
 func discardBody(head *http.Response) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(head.Body, maxSkippedBytes))
 	if err == nil && n == maxSkippedBytes {
@@ -256,7 +263,9 @@
 	pool *Pool
 	addr string
 	body io.Reader
-	stop func() bool
+	// trailers are those after the body once it has been read.
+	trailers *http.Header
+	stop     func() bool
 	// dirty is true when the connection must not be reused.
 	dirty bool
 	// upload is the write of a body that runs while the response is read; nil when all was written before.
@@ -284,6 +293,7 @@
 
 func (r *Response) setHeader(head *http.Response, dirty bool) {
 	r.Status, r.Header, r.Length, r.body = head.StatusCode, head.Header, head.ContentLength, head.Body
+	r.trailers = &head.Trailer
 	r.EndsWithConnection = head.ContentLength < 0 && len(head.TransferEncoding) == 0
 	r.dirty = dirty || head.Close || head.ProtoMinor == 0
 	r.conn.expires = time.Now().Add(idleTimeout(head.Header.Get("Keep-Alive")))
@@ -336,7 +346,7 @@
 			return err
 		}
 	}
-	return io.EOF
+	return cmp.Or(wellformed.Fields(*r.trailers), io.EOF)
 }
 
 // Close ends the exchange. The connection is reused only when the body was
--- a/internal/pool/malformed_test.go
+++ b/internal/pool/malformed_test.go
@@ -52,3 +52,20 @@
 		})
 	}
 }
+
+// Guards against a response that is taken for an answer although a line of its head or of its trailers is no field: what the
+// line says, its framing for instance, is not known then.
+func TestResponseWithInvalidFieldIsRefused(t *testing.T) {
+	for _, line := range []string{
+		"X Odd: boom", "X-Odd : boom", "Content-Length : 2", "X\tOdd: boom", "X\x01Odd: boom", "X\x00Odd: boom", "X\x7fOdd: boom",
+		"X(Odd): boom", "X\x80Odd: boom", ": boom", "boom",
+	} {
+		t.Run(line, func(t *testing.T) {
+			for _, framing := range []string{"Content-Length: 4\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "\r\nbody"} {
+				mustRefuse(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n"+framing)
+				mustRefuse(t, "HTTP/1.1 200 OK\r\nX-A: b\r\n"+line+"\r\n"+framing)
+			}
+			mustRefuse(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"+line+"\r\n\r\n")
+		})
+	}
+}
--- a/internal/pool/roundtrip.go
+++ b/internal/pool/roundtrip.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -64,7 +65,7 @@
 		if !inTime {
 			err = errFirstByteTimeout
 		} else {
-			err = wellformed.FinalStatus(resp.StatusCode)
+			err = wellformed.FinalResponse(resp.StatusCode, resp.Header)
 		}
 		if err != nil {
 			resp.Body.Close()
@@ -82,7 +83,7 @@
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		attempt.endsWithConnection()
 	}
-	resp.Body = newBody(r, resp.Body, bounds.Gap)
+	resp.Body = newBody(r, resp, bounds.Gap)
 	return resp, nil
 }
 
@@ -183,13 +184,14 @@
 type body struct {
 	request      *inFlight
 	inner        io.ReadCloser
+	trailers     *http.Header
 	gap          time.Duration
 	timer        *time.Timer
 	reportSilent sync.Once
 }
 
-func newBody(r *inFlight, inner io.ReadCloser, gap time.Duration) *body {
-	b := &body{request: r, inner: inner, gap: gap}
+func newBody(r *inFlight, resp *http.Response, gap time.Duration) *body {
+	b := &body{request: r, inner: resp.Body, trailers: &resp.Trailer, gap: gap}
 	b.timer = time.AfterFunc(gap, func() { r.cancel(errGapTimeout) })
 	b.timer.Stop()
 	return b
@@ -201,6 +203,9 @@
 	b.timer.Reset(b.gap)
 	n, err := b.inner.Read(p)
 	b.timer.Stop()
+	if err == io.EOF {
+		err = cmp.Or(wellformed.Fields(*b.trailers), err)
+	}
 	if err == nil || err == io.EOF {
 		return n, err
 	}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -64,12 +64,13 @@
 	}
 	switch part := stream.Msg().GetPart().(type) {
 	case *apiv1.RelayResponse_Start:
-		if err := wellformed.FinalStatus(int(part.Start.GetStatus())); err != nil {
+		status, header := int(part.Start.GetStatus()), decodeHeader(part.Start.GetFields())
+		if err := wellformed.FinalResponse(status, header); err != nil {
 			_ = b.Close()
 			return nil, h1.NewError(true, false, err)
 		}
 		return &gateway.Response{
-			Status: int(part.Start.GetStatus()), Header: decodeHeader(part.Start.GetFields()), Length: part.Start.GetLength(), Body: b,
+			Status: status, Header: header, Length: part.Start.GetLength(), Body: b,
 			FromBackend: true, Origin: originOf(part.Start), LeavingServer: leavingOf(part.Start),
 		}, nil
 	case *apiv1.RelayResponse_End:
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -178,18 +178,24 @@
 
 // Guards against a response that no backend server can have sent, as a helper of a release that accepts it passes it on.
 func TestMalformedResponseIsRefused(t *testing.T) {
-	for _, status := range []int{0, 42, 100, 101, 600, 999} {
-		f := startHelper(t)
+	f := startHelper(t)
+	refuse := func(status int, field string) {
 		f.respond = func(ctx context.Context) (*gateway.Response, error) {
 			resp, err := response("boom", nil)(ctx)
-			resp.Status = status
+			resp.Status, resp.Header[field] = status, []string{"boom"}
 			return resp, err
 		}
 		_, err := f.relay("/plain/x")
 		var he *h1.Error
-		must.True(t, errors.As(err, &he), must.Sprint("accepted: status ", status))
+		must.True(t, errors.As(err, &he), must.Sprintf("accepted: status %d, field %q", status, field))
 		must.True(t, he.Sent)
 	}
+	for _, status := range []int{0, 42, 100, 101, 600, 999} {
+		refuse(status, "X-A")
+	}
+	for _, field := range []string{"X Odd", "X-Odd ", "", "X\tOdd", "X\x01Odd", "X:Odd", "X\r\nOdd"} {
+		refuse(200, field)
+	}
 }
 
 // Guards against a false "not run", and against one that is withheld.
--- a/internal/wellformed/wellformed.go
+++ b/internal/wellformed/wellformed.go
@@ -2,7 +2,9 @@
 package wellformed
 
 import (
+	"cmp"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -25,10 +27,26 @@
 	return nil
 }
 
-// FinalStatus checks the status of a response that is not informational.
-func FinalStatus(code int) error {
-	if code < minFinalStatus {
-		return errors.Wrapf(ErrMalformed, "final status %03d", code)
+// Fields checks the names of the fields of a head or of trailers (RFC 9110, section 5.1). net/http accepts blanks in them.
+func Fields(h http.Header) error {
+	for name := range h {
+		if name == "" || strings.ContainsFunc(name, isNoTokenChar) {
+			return errors.Wrapf(ErrMalformed, "field name %q", name)
+		}
 	}
-	return Status(code)
+	return nil
+}
+
+// isNoTokenChar reports whether a name cannot contain the character (RFC 9110, section 5.6.2).
+func isNoTokenChar(r rune) bool {
+	letterOrDigit := 'a' <= r && r <= 'z' || 'A' <= r && r <= 'Z' || '0' <= r && r <= '9'
+	return !letterOrDigit && !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
+}
+
+// FinalResponse checks the status and the fields of a response that is not informational.
+func FinalResponse(status int, h http.Header) error {
+	if status < minFinalStatus {
+		return errors.Wrapf(ErrMalformed, "final status %03d", status)
+	}
+	return cmp.Or(Status(status), Fields(h))
 }
