A response with a folded line in its head is refused

Callers saw: a line of the head that begins with a blank or a tab, such as " X-Odd: 1", as a part of the value of the field before it, also of the seal; with " Content-Length: 6" the length was not known, and the body went on to the end of the connection.

Cause: net/http takes such a line for more of the field before (the obsolete line folding), and nothing tells afterwards that it did.

Evidence: before the change the three such lines of platform.TestResponseWithInvalidFieldIsRefused failed with all framings and in informational heads, 18 cases.

Change: h1 scans the lines of a head as its bytes arrive and refuses a folded one, as RFC 9112, section 5.2 allows a gateway.

Measured: the tests pass; TestFoldedLineIsFoundInPieces splits heads at each two positions.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -139,10 +139,11 @@
 	c.failed = append(c.failed, id)
 }
 
-// headReader limits the number of bytes read for a header.
+// headReader limits the number of bytes read for a header, and has its lines scanned.
 type headReader struct {
 	r         io.Reader
 	remaining int64
+	lines     wellformed.FoldScanner
 }
 
 func (h *headReader) Read(p []byte) (int, error) {
@@ -154,6 +155,7 @@
 	}
 	n, err := h.r.Read(p)
 	h.remaining -= int64(n)
+	h.lines.Scan(p[:n])
 	return n, err
 }
 
@@ -235,11 +237,14 @@
 
 // readHeader reads one header, which may be informational.
 func (c *conn) readHeader(r *Request) (*http.Response, error) {
+	c.head.lines = wellformed.FoldScanner{}
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.head.lines.Scan(buffered)
 	head, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 	if err != nil {
 		return nil, err
 	}
-	return head, cmp.Or(wellformed.Status(head.StatusCode), wellformed.Fields(head.Header))
+	return head, cmp.Or(wellformed.Status(head.StatusCode), wellformed.Fields(head.Header), c.head.lines.Err())
 }
 
 func discardBody(head *http.Response) error {
