A response of another HTTP version, or of HTTP/1.0 with a transfer coding, is refused

Found by looking at what net/http passes over in heads; nobody has reported it. With a head that says HTTP/1.0 and Transfer-Encoding: chunked, callers got the sizes of the chunks as a part of the body, with the seal. A head that says HTTP/0.9, 2.0 or 3.0 was taken for one of HTTP/1.1.

Cause: net/http drops the transfer coding of HTTP/1.0 and reads to the end of the connection; it reads any major version.

Change: package wellformed checks the major version; the scanner of heads in h1 also finds a Transfer-Encoding field, which RFC 9112, section 6.1 has a client take for faulty framing in HTTP/1.0. The OpenAI-style hosts, which leave heads to net/http, do not see that field: there, a coded body of HTTP/1.0 is still passed on as it is.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -143,7 +143,7 @@
 type headReader struct {
 	r         io.Reader
 	remaining int64
-	lines     wellformed.FoldScanner
+	lines     wellformed.HeadScanner
 }
 
 func (h *headReader) Read(p []byte) (int, error) {
@@ -237,14 +237,14 @@
 
 // readHeader reads one header, which may be informational.
 func (c *conn) readHeader(r *Request) (*http.Response, error) {
-	c.head.lines = wellformed.FoldScanner{}
+	c.head.lines = wellformed.HeadScanner{}
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
 	c.head.lines.Scan(buffered)
 	head, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 	if err != nil {
 		return nil, err
 	}
-	return head, cmp.Or(wellformed.Status(head.StatusCode), wellformed.Fields(head.Header), c.head.lines.Err())
+	return head, c.head.lines.Check(head)
 }
 
 func discardBody(head *http.Response) error {
--- a/internal/pool/malformed_test.go
+++ b/internal/pool/malformed_test.go
@@ -69,3 +69,10 @@
 		})
 	}
 }
+
+// Guards against a response of another version of HTTP, whose framing is another.
+func TestResponseInOtherVersionIsRefused(t *testing.T) {
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.0"} {
+		mustRefuse(t, version+" 200 OK\r\nContent-Length: 4\r\n\r\nboom")
+	}
+}
--- a/internal/pool/roundtrip.go
+++ b/internal/pool/roundtrip.go
@@ -65,7 +65,7 @@
 		if !inTime {
 			err = errFirstByteTimeout
 		} else {
-			err = wellformed.FinalResponse(resp.StatusCode, resp.Header)
+			err = wellformed.Response(resp)
 		}
 		if err != nil {
 			resp.Body.Close()
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -181,7 +181,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	if err := wellformed.FinalResponse(resp.StatusCode, resp.Header); err != nil {
+	if err := wellformed.Response(resp); err != nil {
 		return err
 	}
 	// The connection returns to the transport only when the response is read to
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -65,7 +65,7 @@
 	switch part := stream.Msg().GetPart().(type) {
 	case *apiv1.RelayResponse_Start:
 		status, header := int(part.Start.GetStatus()), decodeHeader(part.Start.GetFields())
-		if err := wellformed.FinalResponse(status, header); err != nil {
+		if err := wellformed.Relayed(status, header); err != nil {
 			_ = b.Close()
 			return nil, h1.NewError(true, false, err)
 		}
--- a/internal/wellformed/folding_test.go
+++ b/internal/wellformed/head_test.go
@@ -19,11 +19,11 @@
 	} {
 		for first := range len(text) + 1 {
 			for second := first; second <= len(text); second++ {
-				var s FoldScanner
+				var s HeadScanner
 				s.Scan([]byte(text[:first]))
 				s.Scan([]byte(text[first:second]))
 				s.Scan([]byte(text[second:]))
-				must.Eq(t, folded, s.Err() != nil, must.Sprintf("%q in pieces at %d and %d", text, first, second))
+				must.Eq(t, folded, s.folded, must.Sprintf("%q in pieces at %d and %d", text, first, second))
 			}
 		}
 	}
--- a/internal/wellformed/wellformed.go
+++ b/internal/wellformed/wellformed.go
@@ -1,4 +1,4 @@
-// Package wellformed refuses responses of backend servers that net/http accepts although they are no HTTP responses.
+// Package wellformed refuses responses of backend servers that net/http accepts although they are no HTTP/1 responses.
 package wellformed
 
 import (
@@ -13,14 +13,35 @@
 	minStatus      = 100
 	minFinalStatus = 200
 	maxStatus      = 599
+	majorVersion   = 1
 )
 
 // ErrMalformed is the cause of all errors of this package.
 var ErrMalformed = errors.New("the response is malformed")
 
-// Status checks the status of a response, which may be informational (RFC 9110, section 15). A response that switches
-// protocols is refused: entry hosts never ask for that.
-func Status(code int) error {
+// Response checks the head of a parsed response that is not informational.
+func Response(head *http.Response) error {
+	return cmp.Or(checkVersion(head), Relayed(head.StatusCode, head.Header))
+}
+
+// Relayed checks the status and the fields of a response that another host relays.
+func Relayed(status int, h http.Header) error {
+	if status < minFinalStatus {
+		return errors.Wrapf(ErrMalformed, "final status %03d", status)
+	}
+	return cmp.Or(checkStatus(status), Fields(h))
+}
+
+func checkVersion(head *http.Response) error {
+	if head.ProtoMajor != majorVersion {
+		return errors.Wrapf(ErrMalformed, "version %s", head.Proto)
+	}
+	return nil
+}
+
+// checkStatus checks a status (RFC 9110, section 15). A response that switches protocols is refused: entry hosts never ask
+// for that.
+func checkStatus(code int) error {
 	if code < minStatus || code > maxStatus || code == http.StatusSwitchingProtocols {
 		return errors.Wrapf(ErrMalformed, "status %03d", code)
 	}
@@ -42,11 +63,3 @@
 	letterOrDigit := 'a' <= r && r <= 'z' || 'A' <= r && r <= 'Z' || '0' <= r && r <= '9'
 	return !letterOrDigit && !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
 }
-
-// FinalResponse checks the status and the fields of a response that is not informational.
-func FinalResponse(status int, h http.Header) error {
-	if status < minFinalStatus {
-		return errors.Wrapf(ErrMalformed, "final status %03d", status)
-	}
-	return cmp.Or(Status(status), Fields(h))
-}
