--- a/internal/pool/malformed_test.go
+++ b/internal/pool/malformed_test.go
@@ -76,3 +76,8 @@
 		mustRefuse(t, version+" 200 OK\r\nContent-Length: 4\r\n\r\nboom")
 	}
 }
+
+// Guards against a coded body of HTTP/1.0, which has no transfer codings, that is taken for the body with the chunks' sizes.
+func TestCodedBodyOfHTTP10IsRefused(t *testing.T) {
+	mustRefuse(t, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nboom\r\n0\r\n\r\n")
+}
