OpenAI-style entry hosts: folded lines and transfer codings of HTTP/1.0 are refused there too

A line that begins with a blank was added to the field before; a body of HTTP/1.0 with Transfer-Encoding: chunked was passed on with the chunks' sizes.

Cause: net/http reads the heads there, and says nothing of either.

Change: the connections of package pool have the scanner of heads that h1 has; it goes on over informational responses, since only net/http knows there where a head begins. Behind TLS the connection sees no head, and nothing changes. Renamed on reading the change again: conn.requireUpload, Attempt.requireUpload; the texts of package upload say what is known, that the request was written.

Measured: the tests pass, TestSoundHeadsArePassedOn with five sound responses over one kept connection.

--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/jasminesaddle/jasminesaddle/internal/upload"
+	"github.com/jasminesaddle/jasminesaddle/internal/wellformed"
 )
 
 var errSealed = errors.New("connection is sealed because its request has ended")
@@ -26,32 +28,51 @@
 	sealed  bool
 	pending int
 	written int64
-	// last is the write of a request whose response ends with the connection; nil before such a response.
-	last *upload.Upload
+	// required is the upload that must succeed for the end of the connection to end a response; nil for none.
+	required *upload.Upload
+	// lines scans the head of the response as it arrives; nil over TLS, where only net/http sees it.
+	lines *wellformed.HeadScanner
 }
 
-// Read returns io.EOF at the end of the connection, unless that may have cut a response off.
+// Read returns io.EOF at the end of the connection, unless that may have cut a response off. net/http closes the connection
+// after io.EOF, so the rest of the request is written before.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if err != io.EOF {
-		return n, err
-	}
 	c.mu.Lock()
-	last := c.last
+	required := c.required
+	if c.lines != nil {
+		c.lines.Scan(p[:n])
+	}
 	c.mu.Unlock()
-	if last != nil {
-		if err := last.Wait(); err != nil {
+	if err == io.EOF && required != nil {
+		if err := required.Wait(); err != nil {
 			return n, err
 		}
 	}
-	return n, io.EOF
+	return n, err
+}
+
+// expectHead has the head of the next response scanned.
+func (c *conn) expectHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lines = &wellformed.HeadScanner{}
+}
+
+// checkHead checks the head of a response that has arrived.
+func (c *conn) checkHead(head *http.Response) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lines == nil {
+		return wellformed.Response(head)
+	}
+	return c.lines.Check(head)
 }
 
-// endsResponse has the end of the connection count as that of a response only if the request has been written.
-func (c *conn) endsResponse(request *upload.Upload) {
+func (c *conn) requireUpload(u *upload.Upload) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.last = request
+	c.required = u
 }
 
 func (c *conn) Write(p []byte) (int, error) {
@@ -92,6 +113,7 @@
 
 // Attempt records whether one request may have been sent. It must not be reused.
 type Attempt struct {
+	// upload is the write of the request on the connection that it got.
 	upload *upload.Upload
 
 	mu    sync.Mutex
@@ -154,16 +176,31 @@
 	a.sent, a.ended = true, true
 }
 
-// endsWithConnection is called for a response whose body ends with its connection.
-func (a *Attempt) endsWithConnection() {
+// requireUpload has the end of the connection end the response only if the request has been written.
+func (a *Attempt) requireUpload() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(a.used) == 0 {
-		return
+	if c := a.lastConn(); c != nil {
+		c.requireUpload(a.upload)
 	}
-	if c := a.used[len(a.used)-1].conn; c != nil {
-		c.endsResponse(a.upload)
+}
+
+// checkHead checks the head of the response.
+func (a *Attempt) checkHead(head *http.Response) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c := a.lastConn(); c != nil {
+		return c.checkHead(head)
 	}
+	return wellformed.Response(head)
+}
+
+// lastConn returns the connection that the request got last; nil if it is not known.
+func (a *Attempt) lastConn() *conn {
+	if len(a.used) == 0 {
+		return nil
+	}
+	return a.used[len(a.used)-1].conn
 }
 
 // hasConn reports whether the request got a connection.
@@ -197,6 +234,9 @@
 		c.mayHaveSent(0, true)
 	}
 	a.used = append(a.used, usedConn{conn: c, base: c.bytesWritten()})
+	if c == info.Conn {
+		c.expectHead()
+	}
 }
 
 // unwrapConn returns the byte-counting connection, which TLS wraps if in use, or
--- a/internal/pool/malformed_test.go
+++ b/internal/pool/malformed_test.go
@@ -57,7 +57,7 @@
 // line says, its framing for instance, is not known then.
 func TestResponseWithInvalidFieldIsRefused(t *testing.T) {
 	for _, line := range []string{
-		"X Odd: boom", "X-Odd : boom", "Content-Length : 2", "X\tOdd: boom", "X\x01Odd: boom", "X\x00Odd: boom", "X\x7fOdd: boom",
+		"X Odd: boom", "X-Odd : boom", "Content-Length : 2", " X-Odd: boom", "\tX-Odd: boom", " Content-Length: 2", "X\tOdd: boom", "X\x01Odd: boom", "X\x00Odd: boom", "X\x7fOdd: boom",
 		"X(Odd): boom", "X\x80Odd: boom", ": boom", "boom",
 	} {
 		t.Run(line, func(t *testing.T) {
@@ -70,14 +70,48 @@
 	}
 }
 
-// Guards against a response of another version of HTTP, whose framing is another.
+// Guards against a response of another version of HTTP, whose framing is another, and against one in HTTP/1.0 with a transfer coding,
+// which that version does not have: its body would be passed on with the chunks' sizes.
 func TestResponseInOtherVersionIsRefused(t *testing.T) {
 	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.0"} {
 		mustRefuse(t, version+" 200 OK\r\nContent-Length: 4\r\n\r\nboom")
 	}
+	mustRefuse(t, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nboom\r\n0\r\n\r\n")
 }
 
-// Guards against a coded body of HTTP/1.0, which has no transfer codings, that is taken for the body with the chunks' sizes.
-func TestCodedBodyOfHTTP10IsRefused(t *testing.T) {
-	mustRefuse(t, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nboom\r\n0\r\n\r\n")
+// Guards against strictness that refuses sound responses, on new and on kept connections.
+func TestSoundHeadsArePassedOn(t *testing.T) {
+	sound := []string{
+		"HTTP/1.1 200 OK\r\nX-A:  b \r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 404 Not Found\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-T: u\r\n\r\n",
+		"HTTP/1.1 599 X\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.0 200 OK\r\nConnection: close\r\n\r\nbody",
+	}
+	synctest.Test(t, func(t *testing.T) {
+		dials := 0
+		set := NewSet(Options{Dial: dialTo(func(c net.Conn) {
+			dials++
+			defer c.Close()
+			r := bufio.NewReader(c)
+			for _, response := range sound {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				_, _ = r.Discard(len("body"))
+				_, _ = io.WriteString(c, response)
+			}
+		})})
+		defer set.Close()
+		for _, response := range sound {
+			resp, err := post(t.Context(), set.Transport("s"))
+			must.NoError(t, err, must.Sprintf("%q", response))
+			body, err := io.ReadAll(resp.Body)
+			must.NoError(t, err, must.Sprintf("%q", response))
+			must.Eq(t, "body", string(body))
+			must.NoError(t, resp.Body.Close())
+			synctest.Wait()
+		}
+		must.Eq(t, 1, dials)
+	})
 }
--- a/internal/pool/roundtrip.go
+++ b/internal/pool/roundtrip.go
@@ -62,10 +62,8 @@
 	resp, err := r.send(req, t.singleUse)
 	inTime := firstByteTimer.Stop()
 	if err == nil {
-		if !inTime {
+		if err = attempt.checkHead(resp); !inTime {
 			err = errFirstByteTimeout
-		} else {
-			err = wellformed.Response(resp)
 		}
 		if err != nil {
 			resp.Body.Close()
@@ -81,7 +79,7 @@
 	}
 	attempt.succeed()
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		attempt.endsWithConnection()
+		attempt.requireUpload()
 	}
 	resp.Body = newBody(r, resp, bounds.Gap)
 	return resp, nil
--- a/internal/upload/upload.go
+++ b/internal/upload/upload.go
@@ -1,9 +1,9 @@
-// Package upload tells whether a server has read a request that is still being written when its response ends.
+// Package upload tells whether a request that is still being written when its response ends can be written to its end.
 //
 // An operating system reports the reset of a connection once, to whichever call comes first. If the write of a request
 // takes that error, the read of the response returns an ordinary end. A server that has crashed may also close in order,
-// and resets the connection on what arrives later. So a body that ends with its connection is complete only if the server
-// has read the whole request (RFC 9112, section 8).
+// and resets the connection on what arrives later. So a body that ends with its connection is complete only if the whole
+// request could be written (RFC 9112, section 8).
 package upload
 
 import (
@@ -17,7 +17,7 @@
 // order reads on meanwhile.
 const maxLag = 2 * time.Second
 
-var errUnread = errors.New("the connection ended before the server had read the request")
+var errUnread = errors.New("the connection ended, and the server does not read the rest of the request")
 
 // Upload is the write of one request. It is safe for concurrent use.
 type Upload struct {
@@ -54,7 +54,7 @@
 	defer timer.Stop()
 	select {
 	case <-u.done:
-		return errors.Wrap(u.err, "the connection failed before the server had read the request")
+		return errors.Wrap(u.err, "the connection failed before the whole request was written")
 	case <-timer.C:
 		return errUnread
 	}
--- a/internal/wellformed/head.go
+++ b/internal/wellformed/head.go
@@ -7,7 +7,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// HeadScanner scans the lines of a head as its bytes arrive, for what net/http passes over:
+// HeadScanner scans the lines of a head, and of informational ones before it, as their bytes arrive, for what net/http passes
+// over:
 //   - It takes a line that begins with a blank for more of the field before, whose value then changes; a name that begins
 //     with a blank looks the same. A gateway may refuse such a response (RFC 9112, section 5.2).
 //   - It drops a transfer coding from a response of HTTP/1.0 and takes the coded body for the body. The framing of such a
@@ -15,15 +16,22 @@
 type HeadScanner struct {
 	started bool // the status line has been read
 	ended   bool
-	// column is the number of bytes of the line, and matched that of the first bytes of its name that are those of
-	// transferEncoding.
+	// firstDigit is that of the status.
+	firstDigit byte
+	// column is the number of bytes of the line so far, and matched how many of them are those of transferEncoding.
 	column, matched int
 
 	folded, coded bool
 }
 
-// transferEncoding is the name of a field in lower case, with its colon.
-const transferEncoding = "transfer-encoding:"
+const (
+	// transferEncoding is the name of a field in lower case, with its colon.
+	transferEncoding = "transfer-encoding:"
+	// statusColumn is where the status begins.
+	statusColumn = len("HTTP/1.1 ")
+	// informationalDigit is the first digit of informational statuses.
+	informationalDigit = '1'
+)
 
 // Scan scans the next bytes, which may go beyond the head.
 func (s *HeadScanner) Scan(p []byte) {
@@ -32,15 +40,28 @@
 		case s.ended:
 			return
 		case b == '\n':
-			s.ended = s.started && s.column == 0
-			s.started, s.column, s.matched = true, 0, 0
+			s.endLine()
 		case b != '\r':
 			s.scanLine(b)
 		}
 	}
 }
 
+func (s *HeadScanner) endLine() {
+	switch {
+	case !s.started || s.column > 0:
+		s.started, s.column, s.matched = true, 0, 0
+	case s.firstDigit == informationalDigit:
+		*s = HeadScanner{folded: s.folded, coded: s.coded}
+	default:
+		s.ended = true
+	}
+}
+
 func (s *HeadScanner) scanLine(b byte) {
+	if !s.started && s.column >= statusColumn && s.firstDigit == 0 && b != ' ' {
+		s.firstDigit = b
+	}
 	if s.started && s.column == 0 && (b == ' ' || b == '\t') {
 		s.folded = true
 	}
@@ -58,7 +79,7 @@
 	return b
 }
 
-// Check checks the head of a response, final or informational, that was scanned and then parsed.
+// Check checks a head, final or informational, that was scanned and then parsed.
 func (s *HeadScanner) Check(head *http.Response) error {
 	switch {
 	case s.folded:
