--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -16,6 +16,8 @@
 var cases = map[string]func(rec *record, trouble bool) (result, error){
 	"firststart": firstStart,
 	"heads":      heads,
+	"polls":      polls,
+	"builds":     builds,
 }
 
 func main() {
--- a/review/harness3/standins.go
+++ b/review/harness3/standins.go
@@ -15,11 +15,74 @@
 type backend struct {
 	id, service, address, zone string
 	slots                      int
-	work                       time.Duration
+	work, workGet              time.Duration
 	born                       int64
 
-	mu   sync.Mutex
-	runs map[string]int // by Attempt-Id
+	mu     sync.Mutex
+	build  string // the version of its software
+	server *http.Server
+	// before is what the list shows until shownUntil, after a new start.
+	before     state
+	shownUntil time.Time
+	runs       map[string]int // by Attempt-Id
+}
+
+// serve serves on the listener in the background.
+func (b *backend) serve(l net.Listener) {
+	server := &http.Server{Handler: b}
+	b.mu.Lock()
+	b.server = server
+	b.mu.Unlock()
+	go func() { _ = server.Serve(l) }()
+}
+
+func (b *backend) setBuild(build string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.build = build
+}
+
+// who returns the id of the server and the version of its software.
+func (b *backend) who() (id, build string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.id, b.build
+}
+
+// setWork sets how long the server works on a request, and on a GET.
+func (b *backend) setWork(d, get time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.work, b.workGet = d, get
+}
+
+// state is what the list shows of a server.
+type state struct {
+	id, build string
+	born      int64
+}
+
+// listLag is how long the list lags behind what happens.
+const listLag = 800 * time.Millisecond
+
+// shown returns what the list shows of the server now. One that has crashed remains on it.
+func (b *backend) shown(now time.Time) state {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Before(b.shownUntil) {
+		return b.before
+	}
+	return state{b.id, b.build, b.born}
+}
+
+// lifetime returns the id of the server, and how long it works on a request with the method.
+func (b *backend) lifetime(method string) (id string, work time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if method == http.MethodGet {
+		return b.id, b.workGet
+	}
+	return b.id, b.work
 }
 
 // startBackend starts a sound backend server.
@@ -28,8 +91,8 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &backend{id: id, service: service, address: l.Addr().String(), zone: zone, slots: 6, work: 20 * time.Millisecond, born: time.Now().UnixMilli(), runs: map[string]int{}}
-	go func() { _ = (&http.Server{Handler: b}).Serve(l) }()
+	b := &backend{id: id, service: service, address: l.Addr().String(), zone: zone, slots: 6, build: "v1", work: 20 * time.Millisecond, workGet: 20 * time.Millisecond, born: time.Now().UnixMilli(), runs: map[string]int{}}
+	b.serve(l)
 	return b, nil
 }
 
@@ -40,12 +103,13 @@
 	}
 	id := r.Header.Get("Attempt-Id")
 	h := w.Header()
-	h.Set("Instance-Id", b.id)
+	self, work := b.lifetime(r.Method)
+	h.Set("Instance-Id", self)
 	h.Set("Server-Load", fmt.Sprintf("0,0,%d", b.slots))
 	if id != "" {
 		h.Set("Attempt-Id", id)
 	}
-	if want := r.Header.Get("Expect-Instance"); want != "" && want != b.id {
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != self {
 		h.Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -61,13 +125,17 @@
 	b.mu.Lock()
 	b.runs[id]++
 	b.mu.Unlock()
+	if strings.HasPrefix(r.URL.Path, "/stream/") {
+		b.stream(w, r)
+		return
+	}
 	select {
-	case <-time.After(b.work):
+	case <-time.After(work):
 	case <-r.Context().Done():
 		return
 	}
 	h.Set("Server-Seal", "3e1b.07."+id)
-	_, _ = fmt.Fprintf(w, "%s ran %s %s with %d bytes", b.id, r.Method, r.URL.Path, len(body))
+	_, _ = fmt.Fprintf(w, "%s ran %s %s with %d bytes", self, r.Method, r.URL.Path, len(body))
 }
 
 // totalRuns returns the number of runs of all requests.
@@ -102,7 +170,8 @@
 	handler := func(w http.ResponseWriter, _ *http.Request) {
 		entries := []entry{}
 		for _, b := range servers {
-			entries = append(entries, entry{b.id, b.service, b.address, b.zone, "v1", b.slots, "ready", 0, b.born})
+			e := b.shown(time.Now())
+			entries = append(entries, entry{e.id, b.service, b.address, b.zone, e.build, b.slots, "ready", 0, e.born})
 		}
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(map[string]any{"instances": entries, "next": nil})
