--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -12,10 +12,9 @@
 	what   string
 }
 
-// cases are the cases by their numbers. trouble is false for the same run without the disruption.
+// cases are the cases by their names. trouble is false for the same run without the disruption.
 var cases = map[string]func(rec *record, trouble bool) (result, error){
 	"firststart": firstStart,
-	"heads":      heads,
 	"polls":      polls,
 	"builds":     builds,
 }
