--- a/review/harness3/fleet.go
+++ b/review/harness3/fleet.go
@@ -231,13 +231,6 @@
 	}
 }
 
-func (f *fleet) signal(m *machine, s syscall.Signal) {
-	if m.running() {
-		_ = m.process.Process.Signal(s)
-		f.rec.printf("%s gets %s", m.name, s)
-	}
-}
-
 func (f *fleet) kill(m *machine) {
 	if m.running() {
 		_ = m.process.Process.Kill()
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -15,6 +15,7 @@
 // cases are the cases by their names. trouble is false for the same run without the disruption.
 var cases = map[string]func(rec *record, trouble bool) (result, error){
 	"firststart": firstStart,
+	"heads":      heads,
 	"polls":      polls,
 	"builds":     builds,
 }
