--- a/review/harness3/polls.go
+++ b/review/harness3/polls.go
@@ -105,7 +105,7 @@
 		}
 	}()
 	var senders sync.WaitGroup
-	senders.Go(func() { send("lookup", http.MethodGet, "/status/x", "", 66*time.Millisecond) })
+	senders.Go(func() { send("lookup", http.MethodGet, "/status/x", "", 33*time.Millisecond) })
 	senders.Go(func() { send("booking", http.MethodPost, "/unsafe/book", "booking", 33*time.Millisecond) })
 	senders.Wait()
 	wg.Wait()
